--- /dev/null
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -0,0 +1,799 @@
+package coveladder;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * All decisions of a call controller. Its types, events and actions are in CallPolicy.java.
+ *
+ * <p>Reading map: tuned values; what is remembered; events; ordinary path ({@code route}, {@code
+ * routeDirect}, {@code routeAlternative}, {@code routeTransit}); thresholds ({@code recompute},
+ * {@code thresholds}); the one gate before every send ({@code maySend}); the waiting line; answers
+ * of attempts; health of far ends ({@code Far}); crowded numbers.
+ */
+public final class NestedThresholdPolicy implements CallPolicy {
+
+  // ---- Tuned values -------------------------------------------------------------------------
+
+  /** Time between two computations of the thresholds, ms; DESIGN's value. */
+  private static final double PERIOD = 2000;
+
+  /** Window over which arrivals are counted, ms; DESIGN's value. */
+  private static final double WINDOW = 10000;
+
+  /** Discount of the recursion for each step; DESIGN's value, a horizon of about one hold. */
+  private static final double DISCOUNT = 0.99;
+
+  /** Sweeps of the recursion; DESIGN says dozens. */
+  private static final int SWEEPS = 60;
+
+  /** Calls' worth of the exchange-wide mix put beside a group's own count of classes. */
+  private static final double MIX_WEIGHT = 20;
+
+  /** Part of the exchange-wide mix kept at each computation; about a minute's memory. */
+  private static final double MIX_KEEP = 0.97;
+
+  /** Circuits that alternative calls always leave free on a leg. */
+  private static final double RESERVE_BASE = 2;
+
+  /** Further reserve as a share of the group, for a share 1 of direct calls blocked. */
+  private static final double RESERVE_SLOPE = 0.5;
+
+  /** Part of the blocked share kept at each computation; about the window's memory. */
+  private static final double BLOCKED_KEEP = 0.8;
+
+  /** Tandems that one call tries; each turned back costs work at two exchanges. */
+  private static final int TANDEM_TRIES = 2;
+
+  /** A tandem that turned back a call to some destination is left out for it so long, ms. */
+  private static final double TURNED_BACK_MS = 1500;
+
+  /** Set-ups out toward one far end at first, and at most; one is the trial call. */
+  private static final double OUT_FIRST = 4;
+
+  private static final double OUT_MOST = 16;
+
+  /** Answers within this share of the shortest aim show a far end that keeps up. */
+  private static final double SLOW_SHARE = 0.5;
+
+  /** What a slow answer leaves of the set-ups allowed out. */
+  private static final double SLOW_CUT = 0.7;
+
+  /** Weight of a new answer's time in the delay expected of a far end. */
+  private static final double DELAY_WEIGHT = 0.3;
+
+  /** Shortest time to its aim with which a set-up is still worth sending, ms. */
+  private static final double LEAST_AIM = 50;
+
+  /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
+  private static final double CROWDED_MS = 1000;
+
+  /** Set-ups a second that a warm processor does for each call a second of its own callers. */
+  private static final double WORK_PER_CALL = 2;
+
+  /** Final answers leave so many clock steps before the caller's time is up. */
+  private static final double FINAL_STEPS = 3;
+
+  // ---- What is remembered -------------------------------------------------------------------
+
+  private static final long PERIODIC = 0;
+
+  private final Settings settings;
+  private final Actions actions;
+  private final SplittableRandom random;
+  private final double slow;
+  private final double[] mix;
+  private final double dearest;
+  private final Map<String, Exchange> list = new LinkedHashMap<>();
+  private final Map<Integer, Far> fars = new TreeMap<>();
+  private final Map<String, Held> calls = new LinkedHashMap<>();
+  private final TreeSet<Held> line = new TreeSet<>();
+  private final Map<Long, Held> timers = new LinkedHashMap<>();
+  private final Map<String, Crowded> crowded = new LinkedHashMap<>();
+  private final ArrayDeque<Double> ownArrivals = new ArrayDeque<>();
+  private double ownRate;
+  private double started;
+  private long sequence;
+  private boolean serve;
+
+  /**
+   * Makes a module.
+   *
+   * @param settings what the controller is told at start
+   * @param seed seed of every random choice
+   * @param actions takes what the module asks for
+   */
+  public NestedThresholdPolicy(Settings settings, long seed, Actions actions) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = new SplittableRandom(seed);
+    this.mix = new double[settings.classes().size()];
+    this.dearest = settings.classes().stream().mapToDouble(CallClass::worth).max().orElse(0);
+    double aim = settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
+    double half = SLOW_SHARE * aim;
+    this.slow = settings.retransmit() > 0 ? Math.min(settings.retransmit(), half) : half;
+  }
+
+  // ---- Events -------------------------------------------------------------------------------
+
+  @Override
+  public void onStart(double now) {
+    started = now;
+    actions.wake(PERIOD, PERIODIC);
+    if (settings.listByAsking()) {
+      actions.subscribe();
+    }
+  }
+
+  @Override
+  public void onList(double now, ListNews news) {
+    if (news.complete()) {
+      list.clear();
+    }
+    for (Exchange entry : news.entries()) {
+      if (entry.state() == State.GONE) {
+        list.remove(entry.id());
+      } else {
+        list.put(entry.id(), entry);
+      }
+    }
+    fars.values().forEach(far -> far.current = null);
+    for (Exchange entry : list.values()) {
+      Far far = far(entry.number());
+      boolean newer = far.current == null || far.current.started() < entry.started();
+      if (entry.state() == State.IN_SERVICE && newer) {
+        far.current = entry;
+      }
+    }
+    serve = true;
+    serveLine(now);
+  }
+
+  @Override
+  public void onCall(double now, Call call) {
+    if (call.type() < 0 || call.type() >= settings.classes().size()) {
+      actions.refuse(call.id(), 0);
+      return;
+    }
+    Held held = new Held(call, settings.classes().get(call.type()), now, sequence++);
+    calls.put(call.id(), held);
+    double margin = FINAL_STEPS * settings.resolution();
+    held.finalBy = now + Math.max(0, call.patience() - margin);
+    held.aimBy = Math.min(held.finalBy, now + held.kind.aim());
+    wake(held, held.finalBy - now);
+    count(now, call);
+    if (isCrowded(now, call.number())) {
+      refuse(held);
+    } else {
+      route(now, held);
+    }
+    serveLine(now);
+  }
+
+  @Override
+  public void onStands(double now, Stands stands) {
+    Held held = calls.get(stands.call());
+    if (held != null && held.out != null && held.out.number == stands.attempt()) {
+      held.standing = true;
+      held.out.answered(now, stands.spent());
+      serve = true;
+    }
+    serveLine(now);
+  }
+
+  @Override
+  public void onEnded(double now, Ended ended) {
+    learnCircuits(ended.exchange(), ended.load());
+    Held held = calls.get(ended.call());
+    if (held != null && held.out != null && held.out.number == ended.attempt()) {
+      attemptEnded(now, held, ended);
+    }
+    serve = true;
+    serveLine(now);
+  }
+
+  @Override
+  public void onCallerLeft(double now, String call) {
+    Held held = calls.get(call);
+    if (held != null) {
+      held.finished = true;
+      line.remove(held);
+      if (held.out == null) {
+        calls.remove(call);
+      }
+    }
+    serveLine(now);
+  }
+
+  @Override
+  public void onReport(double now, Report report) {
+    learnCircuits(report.exchange(), report.load());
+    serve = true;
+    serveLine(now);
+  }
+
+  @Override
+  public void onTimer(double now, long label) {
+    if (label == PERIODIC) {
+      recompute(now);
+      actions.wake(PERIOD, PERIODIC);
+    }
+    Held held = timers.remove(label);
+    if (held != null && !held.finished && !held.standing) {
+      callTimer(now, held);
+    }
+    serve = true;
+    serveLine(now);
+  }
+
+  @Override
+  public void onPeer(double now, int from, byte[] payload) {
+    // The module sends no messages, so any that comes is not meant for this version.
+  }
+
+  private void callTimer(double now, Held held) {
+    if (now >= held.finalBy) {
+      if (held.out != null && settings.mayCancel()) {
+        actions.cancel(held.call.id(), held.out.number);
+      }
+      fail(held);
+    } else if (held.out == null && line.contains(held) && now >= held.aimBy - LEAST_AIM) {
+      refuse(held);
+    }
+  }
+
+  private void wake(Held held, double delay) {
+    long label = ++sequence;
+    timers.put(label, held);
+    actions.wake(Math.max(0, delay), label);
+  }
+
+  // ---- Ordinary path ------------------------------------------------------------------------
+
+  /** Decides on a call that has no attempt out: send, wait, refuse. */
+  private void route(double now, Held held) {
+    if (held.call.transit()) {
+      routeTransit(now, held);
+    } else {
+      routeDirect(now, held);
+    }
+  }
+
+  private void routeDirect(double now, Held held) {
+    Far far = far(held.call.destination());
+    if (!far.hasGroup()) {
+      routeAlternative(now, held);
+    } else if (far.admits(held)) {
+      far.offered(held, false);
+      if (maySend(now, held, far, far)) {
+        send(now, held, far, far);
+      } else {
+        await(now, held);
+      }
+    } else {
+      far.offered(held, true);
+      if (far.threshold(held) >= far.size) {
+        routeAlternative(now, held);
+      } else {
+        refuse(held);
+      }
+    }
+  }
+
+  /** One tandem (or pool of second choice) at random among those fit to carry the call. */
+  private void routeAlternative(double now, Held held) {
+    Far destination = far(held.call.destination());
+    List<Far> fit = new ArrayList<>();
+    if (held.tandems < TANDEM_TRIES) {
+      for (Far far : fars.values()) {
+        if (isFit(now, held, far, destination)) {
+          fit.add(far);
+        }
+      }
+    }
+    if (fit.isEmpty()) {
+      await(now, held);
+      return;
+    }
+    held.tandems++;
+    send(now, held, fit.get(random.nextInt(fit.size())), destination);
+  }
+
+  private boolean isFit(double now, Held held, Far far, Far destination) {
+    if (far == destination || far.number == settings.self()) {
+      return false;
+    }
+    boolean pools = settings.layout() == Layout.POOLS;
+    if (pools && !held.kind.pools().isEmpty() && !held.kind.pools().contains(far.number)) {
+      return false;
+    }
+    return far.hasGroup()
+        && far.spares(held)
+        && far.allowed >= 2
+        && far.oldestAge(now) < slow
+        && far.turnedBack.getOrDefault(destination.number, 0.0) <= now
+        && maySend(now, held, far, pools ? far : destination);
+  }
+
+  /** A call in transit goes on to its destination at once or is turned back. */
+  private void routeTransit(double now, Held held) {
+    Far far = far(held.call.destination());
+    if (far.hasGroup() && far.spares(held) && maySend(now, held, far, far)) {
+      send(now, held, far, far);
+    } else {
+      refuse(held);
+    }
+  }
+
+  // ---- Thresholds ---------------------------------------------------------------------------
+
+  private void count(double now, Call call) {
+    if (call.transit()) {
+      return;
+    }
+    ownArrivals.add(now);
+    if (!call.redial() && !call.returned() && !crowded.containsKey(call.number())) {
+      far(call.destination()).arrivals.add(new double[] {now, call.type()});
+      mix[call.type()]++;
+    }
+  }
+
+  private void recompute(double now) {
+    while (!ownArrivals.isEmpty() && ownArrivals.peek() < now - WINDOW) {
+      ownArrivals.remove();
+    }
+    double span = Math.min(WINDOW, Math.max(PERIOD, now - started));
+    ownRate = ownArrivals.size() / span;
+    for (Far far : fars.values()) {
+      far.recompute(now, span);
+    }
+    for (int k = 0; k < mix.length; k++) {
+      mix[k] *= MIX_KEEP;
+    }
+    crowded.values().removeIf(c -> now > c.until + WINDOW);
+  }
+
+  /**
+   * The report's value recursion on the busy count of one group, for Poisson arrivals.
+   *
+   * @param size circuits of the group
+   * @param rates arrivals of each class, per ms
+   * @param hold mean holding time, ms
+   * @param costs cost of blocking a call of each class
+   * @return for each class the first occupancy at which blocking it is cheaper; the size if none
+   */
+  static int[] thresholds(int size, double[] rates, double hold, double[] costs) {
+    double service = 1 / hold;
+    double total = size * service + Arrays.stream(rates).sum();
+    double[] value = new double[size + 1];
+    for (int sweep = 0; sweep < SWEEPS; sweep++) {
+      value = swept(value, rates, service, costs, total);
+    }
+    int[] thresholds = new int[rates.length];
+    for (int k = 0; k < rates.length; k++) {
+      int busy = 0;
+      while (busy < size && DISCOUNT * value[busy + 1] <= costs[k] + DISCOUNT * value[busy]) {
+        busy++;
+      }
+      thresholds[k] = busy;
+    }
+    return thresholds;
+  }
+
+  private static double[] swept(
+      double[] value, double[] rates, double service, double[] costs, double total) {
+    int size = value.length - 1;
+    double[] next = new double[size + 1];
+    for (int busy = 0; busy <= size; busy++) {
+      double below = value[Math.max(0, busy - 1)];
+      double sum = service * (busy * below + (size - busy) * value[busy]) * DISCOUNT;
+      for (int k = 0; k < rates.length; k++) {
+        double block = costs[k] + DISCOUNT * value[busy];
+        double enter = busy < size ? DISCOUNT * value[busy + 1] : Double.MAX_VALUE;
+        sum += rates[k] * Math.min(block, enter);
+      }
+      next[busy] = sum / total;
+    }
+    return next;
+  }
+
+  // ---- The gate before every send -----------------------------------------------------------
+
+  /**
+   * The one owner of "may this call be sent there now": one attempt out, release guard, attempts
+   * left, state of the exchange on the list, time left, set-ups out, budget of a cold processor.
+   */
+  private boolean maySend(double now, Held held, Far first, Far destination) {
+    return held.out == null
+        && !held.finished
+        && now >= held.guardUntil
+        && held.attempts < settings.maxAttempts()
+        && first.number != settings.self()
+        && first.current != null
+        && destination.current != null
+        && first.takes(now, held)
+        && destination.takes(now, held)
+        && first.withinColdBudget(now);
+  }
+
+  private void send(double now, Held held, Far first, Far destination) {
+    line.remove(held);
+    held.out = new Attempt(held.attempts++, now, first, destination, held);
+    first.free -= held.call.width();
+    first.sends.add(now);
+    if (first == destination && !held.call.transit()) {
+      first.ownBusy += held.call.width();
+    }
+    actions.send(held.call.id(), first.current.id(), held.aimBy - now);
+  }
+
+  // ---- The waiting line ---------------------------------------------------------------------
+
+  /**
+   * Holds a call that the thresholds do not refuse until circuits or set-ups come free, no longer
+   * than its aim allows. Answers every shortage that passes within a second or so. Dearest first.
+   */
+  private void await(double now, Held held) {
+    double rest = held.aimBy - LEAST_AIM - now;
+    if (held.call.transit() || rest <= 0 || held.attempts >= settings.maxAttempts()) {
+      refuse(held);
+    } else if (line.add(held)) {
+      wake(held, rest);
+      if (held.guardUntil > now) {
+        wake(held, held.guardUntil - now);
+      }
+    }
+  }
+
+  private void serveLine(double now) {
+    if (!serve) {
+      return;
+    }
+    serve = false;
+    for (Held held : new ArrayList<>(line)) {
+      if (now >= held.guardUntil) {
+        route(now, held);
+      }
+    }
+  }
+
+  // ---- Answers of attempts ------------------------------------------------------------------
+
+  private void attemptEnded(double now, Held held, Ended ended) {
+    Attempt attempt = held.out;
+    attempt.release(now);
+    held.out = null;
+    boolean stood = held.standing;
+    held.standing = false;
+    if (!stood) {
+      judge(now, attempt, ended);
+    }
+    if (ended.last() || held.finished) {
+      held.finished = true;
+      calls.remove(held.call.id());
+      return;
+    }
+    Outcome outcome = ended.outcome();
+    if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET || outcome == Outcome.CANCELLED) {
+      held.guardUntil = now + settings.guard();
+    }
+    next(now, held, ended);
+  }
+
+  /** What the end of a set-up says of the far ends. */
+  private void judge(double now, Attempt attempt, Ended ended) {
+    switch (ended.outcome()) {
+      case TIMED_OUT, REFUSED -> attempt.silent(ended.spent());
+      case BUSY -> {
+        if (ended.reason() == Reason.PROCESSOR_FULL) {
+          attempt.first.pressed(now, ended.askedWait());
+        } else if (ended.reason() == Reason.FULL_BEYOND) {
+          attempt.destination.pressed(now, ended.askedWait());
+        } else {
+          attempt.answered(now, ended.spent());
+        }
+        if (attempt.first != attempt.destination) {
+          double until = now + TURNED_BACK_MS;
+          attempt.first.turnedBack.put(attempt.destination.number, until);
+        }
+      }
+      case ERROR -> attempt.answered(now, ended.spent());
+      default -> {}
+    }
+  }
+
+  private void next(double now, Held held, Ended ended) {
+    if (ended.reason() == Reason.NUMBER_BUSY) {
+      Crowded number = crowded.computeIfAbsent(held.call.number(), n -> new Crowded());
+      number.until = now + CROWDED_MS;
+      number.trial = false;
+      refuse(held);
+    } else if (held.call.transit() || now >= held.aimBy - LEAST_AIM) {
+      fail(held);
+    } else if (held.guardUntil > now || ended.outcome() == Outcome.SKIPPED) {
+      await(now, held);
+    } else {
+      route(now, held);
+    }
+  }
+
+  private void refuse(Held held) {
+    finish(held);
+    actions.refuse(held.call.id(), 0);
+  }
+
+  private void fail(Held held) {
+    finish(held);
+    actions.fail(held.call.id());
+  }
+
+  private void finish(Held held) {
+    held.finished = true;
+    line.remove(held);
+    if (held.out == null) {
+      calls.remove(held.call.id());
+    }
+  }
+
+  // ---- Crowded numbers ----------------------------------------------------------------------
+
+  private boolean isCrowded(double now, String number) {
+    Crowded state = crowded.get(number);
+    if (state == null) {
+      return false;
+    }
+    if (now < state.until) {
+      return true;
+    }
+    state.until = now + CROWDED_MS;
+    return false;
+  }
+
+  private static final class Crowded {
+    double until;
+    boolean trial;
+  }
+
+  // ---- Far ends -----------------------------------------------------------------------------
+
+  private Far far(int number) {
+    return fars.computeIfAbsent(number, Far::new);
+  }
+
+  private void learnCircuits(String id, Load load) {
+    Exchange entry = list.get(id);
+    if (entry != null && !Double.isNaN(load.free()) && !Double.isNaN(load.size())) {
+      Far far = far(entry.number());
+      far.free = load.free();
+      far.size = load.size();
+    }
+  }
+
+  /** A far end: its group of circuits, its thresholds and the one estimate of its health. */
+  private final class Far {
+    final int number;
+    final ArrayDeque<double[]> arrivals = new ArrayDeque<>();
+    final ArrayDeque<Double> sends = new ArrayDeque<>();
+    final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
+    final Map<Integer, Double> turnedBack = new TreeMap<>();
+    Exchange current;
+    double free = Double.NaN;
+    double size = Double.NaN;
+    int ownBusy;
+    int[] thresholds;
+    double direct;
+    double blocked;
+    double others;
+    double allowed = OUT_FIRST;
+    double delay;
+    double cutAt;
+    double closedUntil;
+
+    Far(int number) {
+      this.number = number;
+    }
+
+    boolean hasGroup() {
+      return number != settings.self() && !(size <= 0);
+    }
+
+    double threshold(Held held) {
+      boolean open = thresholds == null || held.kind.worth() >= dearest;
+      return open ? size : thresholds[held.call.type()];
+    }
+
+    boolean admits(Held held) {
+      return Double.isNaN(size)
+          || free >= held.call.width() && size - free + held.call.width() <= threshold(held);
+    }
+
+    /** Whether an alternative call leaves the reserve free. */
+    boolean spares(Held held) {
+      double share = direct > 0 ? blocked / direct : 0;
+      double reserve = RESERVE_BASE + RESERVE_SLOPE * share * size;
+      return Double.isNaN(size) || free - held.call.width() >= reserve;
+    }
+
+    void offered(Held held, boolean refused) {
+      if (!held.offered) {
+        held.offered = true;
+        direct++;
+        blocked += refused ? 1 : 0;
+      }
+    }
+
+    void recompute(double now, double span) {
+      while (!arrivals.isEmpty() && arrivals.peek()[0] < now - WINDOW) {
+        arrivals.remove();
+      }
+      direct *= BLOCKED_KEEP;
+      blocked *= BLOCKED_KEEP;
+      if (size >= 1) {
+        thresholds = arrivals.isEmpty() ? null : computed(span);
+      }
+    }
+
+    /** Own arrivals by class, and those of the other users of the group read off its circuits. */
+    private int[] computed(double span) {
+      int classes = mix.length;
+      double mixed = Arrays.stream(mix).sum();
+      double[] rates = new double[classes];
+      double[] costs = new double[classes];
+      double hold = 0;
+      double width = 0;
+      double own = arrivals.size() / span;
+      for (int k = 0; k < classes; k++) {
+        final int type = k;
+        double counted = arrivals.stream().filter(a -> a[1] == type).count();
+        double share = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
+        CallClass kind = settings.classes().get(k);
+        rates[k] = share;
+        costs[k] = kind.worth();
+        hold += share * kind.hold();
+        width += share * kind.width();
+      }
+      double seen = Math.max(0, size - free - ownBusy) / width / hold;
+      others += (seen - others) / 2;
+      for (int k = 0; k < classes; k++) {
+        rates[k] *= own + others;
+      }
+      return NestedThresholdPolicy.thresholds((int) size, rates, hold, costs);
+    }
+
+    double oldestAge(double now) {
+      return out.isEmpty() ? 0 : now - out.iterator().next().sent;
+    }
+
+    /** Whether one more set-up may go out: few enough out, and an answer in time to expect. */
+    boolean takes(double now, Held held) {
+      if (now < closedUntil) {
+        return false;
+      }
+      boolean inTime = now + Math.max(delay, LEAST_AIM) < held.aimBy;
+      return out.isEmpty() || inTime && out.size() < (int) allowed;
+    }
+
+    void answered(double now, double spent) {
+      delay += DELAY_WEIGHT * (spent - delay);
+      if (spent <= slow) {
+        allowed = Math.min(OUT_MOST, allowed + 1 / allowed);
+      } else if (now - spent >= cutAt) {
+        cutAt = now;
+        allowed = Math.max(1, allowed * SLOW_CUT);
+      }
+    }
+
+    void silent(double spent) {
+      if (spent >= slow) {
+        delay += DELAY_WEIGHT * (spent - delay);
+        allowed = 1;
+      }
+    }
+
+    void pressed(double now, double wait) {
+      allowed = 1;
+      closedUntil = now + (wait > 0 ? wait : slow);
+    }
+
+    /** This controller's share of what a cold processor bears in every window. */
+    boolean withinColdBudget(double now) {
+      while (!sends.isEmpty() && sends.peek() < now - settings.fall()) {
+        sends.remove();
+      }
+      boolean cold = current.started() > 0 && now < current.started() + settings.ramp();
+      if (!cold) {
+        return true;
+      }
+      double capacity = WORK_PER_CALL * ownRate * settings.coldFrom() * settings.fall();
+      double share = settings.fallMultiple() * capacity / settings.instances();
+      return sends.size() + 1 <= Math.max(1, share);
+    }
+  }
+
+  // ---- Calls and attempts -------------------------------------------------------------------
+
+  /** A call that this controller owes an answer, or that stands. */
+  private static final class Held implements Comparable<Held> {
+    final Call call;
+    final CallClass kind;
+    final double taken;
+    final long order;
+    double finalBy;
+    double aimBy;
+    double guardUntil;
+    int attempts;
+    int tandems;
+    Attempt out;
+    boolean standing;
+    boolean finished;
+    boolean offered;
+
+    Held(Call call, CallClass kind, double taken, long order) {
+      this.call = call;
+      this.kind = kind;
+      this.taken = taken;
+      this.order = order;
+    }
+
+    @Override
+    public int compareTo(Held other) {
+      int byWorth = Double.compare(other.kind.worth(), kind.worth());
+      return byWorth != 0 ? byWorth : Long.compare(order, other.order);
+    }
+  }
+
+  /** One attempt of a call, through a first exchange to the destination. */
+  private static final class Attempt {
+    final int number;
+    final double sent;
+    final Far first;
+    final Far destination;
+    final Held held;
+    boolean answered;
+
+    Attempt(int number, double sent, Far first, Far destination, Held held) {
+      this.number = number;
+      this.sent = sent;
+      this.first = first;
+      this.destination = destination;
+      this.held = held;
+      first.out.add(this);
+      destination.out.add(this);
+    }
+
+    void answered(double now, double spent) {
+      if (!answered) {
+        answered = true;
+        first.out.remove(this);
+        destination.out.remove(this);
+        first.answered(now, spent);
+        if (first != destination) {
+          destination.answered(now, spent);
+        }
+      }
+    }
+
+    void silent(double spent) {
+      first.silent(spent);
+      if (first != destination) {
+        destination.silent(spent);
+      }
+    }
+
+    void release(double now) {
+      first.out.remove(this);
+      destination.out.remove(this);
+      if (first == destination && !held.call.transit()) {
+        first.ownBusy -= held.call.width();
+      }
+    }
+  }
+}
