--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -73,6 +73,9 @@
   /** Shortest time to its aim with which a set-up is still worth sending, ms. */
   private static final double LEAST_AIM = 50;
 
+  /** Share of its aim that a call must have left to be the trial call of a far end in doubt. */
+  private static final double TRIAL_SHARE = 0.7;
+
   /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
   private static final double CROWDED_MS = 1000;
 
@@ -677,8 +680,11 @@
       if (now < closedUntil) {
         return false;
       }
-      boolean inTime = now + Math.max(delay, LEAST_AIM) < held.aimBy;
-      return out.isEmpty() || inTime && out.size() < (int) allowed;
+      double rest = held.aimBy - now;
+      if (out.isEmpty()) {
+        return rest >= Math.min(delay, TRIAL_SHARE * held.kind.aim());
+      }
+      return rest >= Math.max(delay, LEAST_AIM) && out.size() < (int) allowed;
     }
 
     void answered(double now, double spent) {
