A blocked call costs less where overflow is carried

Cause: direct thresholds refused cheap calls of a locally crowded group although dear calls, for whom the room was kept, would have stood over a tandem. The excess blocking cost is now scaled by the share of overflowing calls lost.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -50,6 +50,9 @@
   /** Part of the blocked share kept at each computation; about the window's memory. */
   private static final double BLOCKED_KEEP = 0.8;
 
+  /** Calls taken as rescued beside those counted, so that a quiet group starts open. */
+  private static final double RESCUE_WEIGHT = 2;
+
   /** Tandems that one call tries; each turned back costs work at two exchanges. */
   private static final int TANDEM_TRIES = 2;
 
@@ -95,6 +98,7 @@
   private final double slow;
   private final double[] mix;
   private final double dearest;
+  private final double cheapest;
   private final Map<String, Exchange> list = new LinkedHashMap<>();
   private final Map<Integer, Far> fars = new TreeMap<>();
   private final Map<String, Held> calls = new LinkedHashMap<>();
@@ -120,6 +124,7 @@
     this.random = new SplittableRandom(seed);
     this.mix = new double[settings.classes().size()];
     this.dearest = settings.classes().stream().mapToDouble(CallClass::worth).max().orElse(0);
+    this.cheapest = settings.classes().stream().mapToDouble(CallClass::worth).min().orElse(0);
     double aim = settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
     double half = SLOW_SHARE * aim;
     this.slow = settings.retransmit() > 0 ? Math.min(settings.retransmit(), half) : half;
@@ -186,6 +191,9 @@
     Held held = calls.get(stands.call());
     if (held != null && held.out != null && held.out.number == stands.attempt()) {
       held.standing = true;
+      if (held.overflowed) {
+        far(held.call.destination()).carried++;
+      }
       held.out.answered(now, stands.spent());
       serve = true;
     }
@@ -284,6 +292,7 @@
     } else {
       far.offered(held, true);
       if (far.threshold(held) >= far.size) {
+        far.overflows(held);
         routeAlternative(now, held);
       } else {
         refuse(held);
@@ -595,6 +604,8 @@
     double direct;
     double blocked;
     double others;
+    double overflowed;
+    double carried;
     double allowed = OUT_FIRST;
     double delay;
     double cutAt;
@@ -633,12 +644,26 @@
       }
     }
 
+    void overflows(Held held) {
+      if (!held.overflowed) {
+        held.overflowed = true;
+        overflowed++;
+      }
+    }
+
+    /** Share of the calls that found the group full and yet stood lately. */
+    private double rescued() {
+      return Math.min(1, (carried + RESCUE_WEIGHT) / (overflowed + RESCUE_WEIGHT));
+    }
+
     void recompute(double now, double span) {
       while (!arrivals.isEmpty() && arrivals.peek()[0] < now - WINDOW) {
         arrivals.remove();
       }
       direct *= BLOCKED_KEEP;
       blocked *= BLOCKED_KEEP;
+      overflowed *= BLOCKED_KEEP;
+      carried *= BLOCKED_KEEP;
       if (size >= 1) {
         thresholds = arrivals.isEmpty() ? null : computed(span);
       }
@@ -659,7 +684,7 @@
         double share = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
         CallClass kind = settings.classes().get(k);
         rates[k] = share;
-        costs[k] = kind.worth();
+        costs[k] = cheapest + (kind.worth() - cheapest) * (1 - rescued());
         hold += share * kind.hold();
         width += share * kind.width();
       }
@@ -741,6 +766,7 @@
     boolean standing;
     boolean finished;
     boolean offered;
+    boolean overflowed;
 
     Held(Call call, CallClass kind, double taken, long order) {
       this.call = call;
