No tandem through slow processors

An alternative call presses three processors; it goes out only while the delays expected of tandem and destination together stay under the slow mark. Guards against overflow feeding a jam whatever its cause; harms where one stale slow sample keeps a tandem out, until the next direct answer.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -330,6 +330,7 @@
     return far.hasGroup()
         && far.spares(held)
         && far.allowed >= 2
+        && far.delay + destination.delay < slow
         && far.oldestAge(now) < slow
         && far.turnedBack.getOrDefault(destination.number, 0.0) <= now
         && maySend(now, held, far, pools ? far : destination);
