Limit all set-ups out together where most far ends look slow

Told from a sick far end: most far ends slow at once, circuits free. Guards against any pressure on the own processor (floods, mass cuts coming again, pauses). Could harm where most far ends are slow for reasons of their own: then calls to the few good ones are held back too, never below two out.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -67,6 +67,11 @@
   /** Answers within this share of the shortest aim show a far end that keeps up. */
   private static final double SLOW_SHARE = 0.5;
 
+  /** All set-ups out of this controller at most, and at least when its processor is pressed. */
+  private static final double OWN_MOST = 32;
+
+  private static final double OWN_LEAST = 2;
+
   /** What a slow answer leaves of the set-ups allowed out. */
   private static final double SLOW_CUT = 0.7;
 
@@ -110,6 +115,9 @@
   private double started;
   private long sequence;
   private boolean serve;
+  private int unanswered;
+  private double ownAllowed = OWN_MOST;
+  private double ownCutAt;
 
   /**
    * Makes a module.
@@ -194,7 +202,7 @@
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
-      held.out.answered(now, stands.spent());
+      answered(now, held.out, stands.spent());
       serve = true;
     }
     serveLine(now);
@@ -428,6 +436,7 @@
     return held.out == null
         && !held.finished
         && now >= held.guardUntil
+        && unanswered < (int) ownAllowed
         && held.attempts < settings.maxAttempts()
         && first.number != settings.self()
         && first.current != null
@@ -439,6 +448,7 @@
 
   private void send(double now, Held held, Far first, Far destination) {
     line.remove(held);
+    unanswered++;
     held.out = new Attempt(held.attempts++, now, first, destination, held);
     first.free -= held.call.width();
     first.sends.add(now);
@@ -482,13 +492,14 @@
 
   private void attemptEnded(double now, Held held, Ended ended) {
     Attempt attempt = held.out;
-    attempt.release(now);
     held.out = null;
     boolean stood = held.standing;
     held.standing = false;
     if (!stood) {
       judge(now, attempt, ended);
     }
+    unanswered -= attempt.answered ? 0 : 1;
+    attempt.release();
     if (ended.last() || held.finished) {
       held.finished = true;
       calls.remove(held.call.id());
@@ -501,24 +512,52 @@
     next(now, held, ended);
   }
 
+  /** An answer in time or not: frees its place and tells of the far ends and the own processor. */
+  private void answered(double now, Attempt attempt, double spent) {
+    if (attempt.answered) {
+      return;
+    }
+    attempt.answered(now, spent);
+    unanswered--;
+    learnOwn(now, spent);
+  }
+
+  /**
+   * Where most far ends look slow at once the own processor, which every set-up passes, is the
+   * likelier cause: all set-ups out are then limited together, never below a few.
+   */
+  private void learnOwn(double now, double spent) {
+    long known = fars.values().stream().filter(f -> f.delay > 0).count();
+    long late = fars.values().stream().filter(f -> f.delay > slow).count();
+    if (2 * late <= known) {
+      ownAllowed = Math.min(OWN_MOST, ownAllowed + 2 / ownAllowed);
+    } else if (spent > slow && now - spent >= ownCutAt) {
+      ownCutAt = now;
+      ownAllowed = Math.max(OWN_LEAST, Math.min(ownAllowed, unanswered + 1) * SLOW_CUT);
+    }
+  }
+
   /** What the end of a set-up says of the far ends. */
   private void judge(double now, Attempt attempt, Ended ended) {
     switch (ended.outcome()) {
-      case TIMED_OUT, REFUSED -> attempt.silent(ended.spent());
+      case TIMED_OUT, REFUSED -> {
+        attempt.silent(ended.spent());
+        learnOwn(now, ended.spent());
+      }
       case BUSY -> {
         if (ended.reason() == Reason.PROCESSOR_FULL) {
           attempt.first.pressed(now, ended.askedWait());
         } else if (ended.reason() == Reason.FULL_BEYOND) {
           attempt.destination.pressed(now, ended.askedWait());
         } else {
-          attempt.answered(now, ended.spent());
+          answered(now, attempt, ended.spent());
         }
         if (attempt.first != attempt.destination) {
           double until = now + TURNED_BACK_MS;
           attempt.first.turnedBack.put(attempt.destination.number, until);
         }
       }
-      case ERROR -> attempt.answered(now, ended.spent());
+      case ERROR -> answered(now, attempt, ended.spent());
       default -> {}
     }
   }
@@ -821,7 +860,7 @@
       }
     }
 
-    void release(double now) {
+    void release() {
       first.out.remove(this);
       destination.out.remove(this);
       if (first == destination && !held.call.transit()) {
