--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -409,7 +409,7 @@
     return thresholds;
   }
 
-  private static double[] swept(
+  static double[] swept(
       double[] value, double[] rates, double service, double[] costs, double total) {
     int size = value.length - 1;
     double[] next = new double[size + 1];
--- /dev/null
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -0,0 +1,292 @@
+package coveladder;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import coveladder.CallPolicy.Exchange;
+import coveladder.CallPolicy.Layout;
+import coveladder.CallPolicy.Outcome;
+import coveladder.CallPolicy.Reason;
+import coveladder.CallPolicy.Settings;
+import coveladder.CallPolicy.State;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PolicyTest {
+  private final Bed bed = Bed.mesh();
+
+  @Test
+  void aCallGoesDirectFirst() {
+    bed.call("a", Bed.CHEAP, 2);
+    assertEquals(List.of("x2"), bed.asked.sentTo("a"));
+  }
+
+  @Test
+  void aCallWhoseDirectGroupIsFullTriesOneTandem() {
+    bed.circuits(2, 0, 20);
+    bed.call("a", Bed.CHEAP, 2);
+    assertEquals(1, bed.asked.sentTo("a").size());
+    assertFalse(bed.asked.sentTo("a").contains("x2"));
+  }
+
+  @Test
+  void aPairWithoutGroupUsesATandem() {
+    bed.circuits(2, 0, 0);
+    bed.call("a", Bed.CHEAP, 2);
+    assertEquals(1, bed.asked.sentTo("a").size());
+    assertFalse(bed.asked.sentTo("a").contains("x2"));
+  }
+
+  @Test
+  void alternativeCallsLeaveAReserveThatGrowsWithBlocking() {
+    bed.circuits(1, 2, 20);
+    bed.circuits(3, 2, 20);
+    bed.circuits(2, 0, 20);
+    bed.call("a", Bed.DEAR, 2);
+    assertTrue(bed.asked.sentTo("a").isEmpty());
+    bed.circuits(1, 3, 20);
+    assertEquals(List.of("x1"), bed.asked.sentTo("a"));
+  }
+
+  @Test
+  void aCallInTransitGoesToItsDestinationOrBack() {
+    bed.transit("a", Bed.CHEAP, 2);
+    assertEquals(List.of("x2"), bed.asked.sentTo("a"));
+    bed.circuits(2, 0, 20);
+    bed.transit("b", Bed.DEAR, 2);
+    assertTrue(bed.asked.sentTo("b").isEmpty());
+    assertEquals(List.of("refuse"), bed.asked.answers("b"));
+  }
+
+  @Test
+  void aCallWithNothingFreeWaitsAndIsSentWhenACircuitComesFree() {
+    for (int far = 1; far <= 3; far++) {
+      bed.circuits(far, 0, 20);
+    }
+    bed.call("a", Bed.CHEAP, 2);
+    bed.call("b", Bed.DEAR, 2);
+    bed.pass(300);
+    bed.circuits(2, 1, 20);
+    assertEquals(List.of("x2"), bed.asked.sentTo("b"));
+    assertTrue(bed.asked.sentTo("a").isEmpty());
+    bed.pass(900);
+    assertEquals(List.of("refuse"), bed.asked.answers("a"));
+  }
+
+  @Test
+  void theReleaseGuardIsKeptAfterATimeOut() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.pass(400);
+    bed.ended("a", 0, 2, Outcome.TIMED_OUT, Reason.NONE, 400);
+    assertEquals(1, bed.asked.sentTo("a").size());
+    bed.pass(settingsGuard() - 1);
+    assertEquals(1, bed.asked.sentTo("a").size());
+    bed.pass(1);
+    assertEquals(2, bed.asked.sentTo("a").size());
+  }
+
+  private double settingsGuard() {
+    return bed.settings.guard();
+  }
+
+  @Test
+  void everyCallGetsItsFinalAnswerInTime() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.pass(3000);
+    assertEquals(1, bed.asked.answers("a").size());
+    bed.ended("a", 0, 2, Outcome.CANCELLED, Reason.NONE);
+    assertEquals(1, bed.asked.answers("a").size());
+    assertEquals(1, bed.asked.sentTo("a").size());
+  }
+
+  @Test
+  void aCallThatItsCallerLeftIsNotTouchedAgain() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.policy.onCallerLeft(bed.now, "a");
+    bed.ended("a", 0, 2, Outcome.BUSY, Reason.NO_CIRCUIT);
+    bed.pass(5000);
+    assertTrue(bed.asked.answers("a").isEmpty());
+    assertEquals(1, bed.asked.sentTo("a").size());
+  }
+
+  @Test
+  void nothingGoesToADrainingOrGoneExchange() {
+    bed.list(false, new Exchange("x2", 2, State.DRAINING, 0));
+    bed.call("a", Bed.DEAR, 2);
+    bed.list(false, new Exchange("x2", 2, State.GONE, 0));
+    bed.call("b", Bed.DEAR, 2);
+    bed.pass(3000);
+    assertTrue(bed.asked.of("send").isEmpty());
+    assertEquals(1, bed.asked.answers("a").size());
+    assertEquals(1, bed.asked.answers("b").size());
+  }
+
+  @Test
+  void aColdExchangeGetsThisControllersShareOfItsBudget() {
+    bed.now = 5000;
+    bed.list(true, Bed.entry(1, 0), Bed.entry(2, 4900), Bed.entry(3, 0));
+    for (int i = 0; i < 40; i++) {
+      bed.call("c" + i, Bed.CHEAP, 2);
+      bed.stands("c" + i, 0, 40);
+    }
+    assertEquals(1, bed.asked.of("send").size());
+  }
+
+  @Test
+  void aSilentExchangeIsTriedByOneCallAtATime() {
+    for (int i = 0; i < 12; i++) {
+      bed.call("c" + i, Bed.CHEAP, 2);
+    }
+    int sent = bed.asked.of("send").size();
+    assertTrue(sent <= 4);
+    bed.pass(1200);
+    for (int i = 0; i < sent; i++) {
+      bed.ended("c" + i, 0, 2, Outcome.TIMED_OUT, Reason.NONE, 1200);
+    }
+    for (int i = 0; i < 12; i++) {
+      bed.call("d" + i, Bed.CHEAP, 2);
+    }
+    assertEquals(sent + 1, bed.asked.of("send").size());
+  }
+
+  @Test
+  void aCallNearTheEndOfItsAimIsNoTrial() {
+    aSilentExchangeIsTriedByOneCallAtATime();
+    int sent = bed.asked.of("send").size();
+    String trial = bed.asked.of("send").get(sent - 1).call();
+    bed.pass(900);
+    bed.ended(trial, 0, 2, Outcome.BUSY, Reason.NO_CIRCUIT, 900);
+    assertEquals(sent, bed.asked.of("send").size());
+  }
+
+  @Test
+  void whenAllFarEndsLookSlowFewSetUpsAreOutButNeverNone() {
+    for (int round = 0; round < 12; round++) {
+      for (int far = 1; far <= 3; far++) {
+        bed.call("r" + round + far, Bed.CHEAP, far);
+      }
+      bed.pass(1150);
+      for (var send : bed.asked.of("send")) {
+        if (send.call().startsWith("r" + round)) {
+          bed.stands(send.call(), 0, 1150);
+        }
+      }
+    }
+    int sent = bed.asked.of("send").size();
+    for (int far = 1; far <= 3; far++) {
+      bed.call("z" + far, Bed.CHEAP, far);
+    }
+    assertEquals(2, bed.asked.of("send").size() - sent);
+  }
+
+  @Test
+  void noTandemThroughSlowProcessors() {
+    for (int round = 0; round < 6; round++) {
+      bed.call("r" + round, Bed.CHEAP, 1);
+      bed.pass(700);
+      bed.stands("r" + round, 0, 700);
+    }
+    bed.circuits(2, 0, 20);
+    for (int i = 0; i < 8; i++) {
+      bed.call("a" + i, Bed.CHEAP, 2);
+      assertFalse(bed.asked.sentTo("a" + i).contains("x1"));
+    }
+  }
+
+  @Test
+  void aCrowdedNumberIsLeftAloneButForSingleTrials() {
+    for (int i = 0; i < 5; i++) {
+      bed.policy.onCall(
+          bed.now, new CallPolicy.Call("h" + i, 0, 3000, 1, "hot", 2, false, false, false));
+      if (i == 0) {
+        bed.ended("h0", 0, 2, Outcome.ERROR, Reason.NUMBER_BUSY, 40);
+      }
+    }
+    assertEquals(1, bed.asked.of("send").size());
+    assertEquals(5, bed.asked.of("refuse").size());
+  }
+
+  @Test
+  void overflowThatIsCarriedKeepsTheGroupOpen() {
+    var closed = Bed.mesh();
+    for (Bed each : List.of(bed, closed)) {
+      boolean carried = each == bed;
+      for (int i = 0; i < 200; i++) {
+        each.circuits(2, 0, 20);
+        each.circuits(1, carried ? 20 : 0, 20);
+        each.circuits(3, carried ? 20 : 0, 20);
+        each.call("c" + i, i % 10 == 0 ? Bed.DEAR : Bed.CHEAP, 2);
+        if (carried) {
+          each.stands("c" + i, 0, 40);
+        }
+        each.pass(50);
+      }
+      each.pass(2000);
+      each.circuits(2, 1, 20);
+      each.call("last", Bed.CHEAP, 2);
+    }
+    assertEquals(List.of("x2"), bed.asked.sentTo("last"));
+    assertEquals(List.of("refuse"), closed.asked.answers("last"));
+  }
+
+  @Test
+  void unusableSettingsAreNamedWithTheirValue() {
+    var error =
+        assertThrows(
+            IllegalArgumentException.class,
+            () ->
+                new Settings(
+                    Layout.MESH,
+                    0,
+                    0,
+                    List.of(),
+                    5,
+                    4,
+                    true,
+                    false,
+                    false,
+                    0,
+                    false,
+                    1,
+                    1,
+                    1,
+                    1,
+                    1,
+                    1));
+    assertTrue(error.getMessage().contains("instances=0"));
+  }
+
+  @Test
+  void poolsUseOnlyThePoolsOfTheClass() {
+    var open = new CallPolicy.CallClass(1, 0, 1000, 6000, 1, 9000, List.of(1, 3));
+    Settings s = Bed.settings(Layout.POOLS, -1);
+    var pools =
+        new Bed(
+            new Settings(
+                s.layout(),
+                -1,
+                4,
+                List.of(open),
+                5,
+                4,
+                true,
+                false,
+                false,
+                0,
+                false,
+                300,
+                800,
+                0.3,
+                10000,
+                3,
+                3000));
+    pools.list(true, Bed.entry(1, 0), Bed.entry(2, 0), Bed.entry(3, 0));
+    pools.circuits(1, 0, 20);
+    pools.circuits(2, 20, 20);
+    pools.circuits(3, 20, 20);
+    pools.call("a", 0, 1);
+    assertEquals(List.of("x3"), pools.asked.sentTo("a"));
+  }
+}
