--- a/src/test/java/coveladder/EmbeddingExampleTest.java
+++ b/src/test/java/coveladder/EmbeddingExampleTest.java
@@ -21,8 +21,23 @@
     CallClass save = new CallClass(8, 0.25, 1000, 6000, 1, 6000, List.of());
     Settings settings =
         new Settings(
-            Layout.MESH, 0, 2, List.of(lookup, save), 5, 6, true, false, false, 2000, false, 300,
-            800, 0.3, 13000, 3, 3000);
+            Layout.MESH,
+            0,
+            2,
+            List.of(lookup, save),
+            5,
+            6,
+            true,
+            false,
+            false,
+            2000,
+            false,
+            300,
+            800,
+            0.3,
+            13000,
+            3,
+            3000);
     Recorder actions = new Recorder();
 
     CallPolicy policy = new NestedThresholdPolicy(settings, 42, actions);
