A redial is a class of its own, with its late worth as blocking cost

Cause: marked repeats competed with first tries at full worth although most stand after their aim. They are not counted as demand; the recursion gives them a threshold of their own from worth x late worth, nested below their class. Acts only where callers mark repeats and the thresholds bite (overflow lost). Could harm where redials still make their aim.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -660,8 +660,9 @@
     }
 
     double threshold(Held held) {
-      boolean open = thresholds == null || held.kind.worth() >= dearest;
-      return open ? size : thresholds[held.call.type()];
+      boolean again = held.call.redial();
+      boolean open = thresholds == null || held.kind.worth() >= dearest && !again;
+      return open ? size : thresholds[held.call.type() + (again ? mix.length : 0)];
     }
 
     boolean admits(Held held) {
@@ -713,8 +714,8 @@
     private int[] computed(double span) {
       int classes = mix.length;
       double mixed = Arrays.stream(mix).sum();
-      double[] rates = new double[classes];
-      double[] costs = new double[classes];
+      double[] rates = new double[2 * classes];
+      double[] costs = new double[2 * classes];
       double hold = 0;
       double width = 0;
       double own = arrivals.size() / span;
@@ -732,6 +733,9 @@
       others += (seen - others) / 2;
       for (int k = 0; k < classes; k++) {
         rates[k] *= own + others;
+        CallClass kind = settings.classes().get(k);
+        double late = kind.worth() * kind.lateWorth();
+        costs[classes + k] = cheapest + (late - cheapest) * (1 - rescued());
       }
       return NestedThresholdPolicy.thresholds((int) size, rates, hold, costs);
     }
