--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -812,6 +812,11 @@
     boolean offered;
     boolean overflowed;
 
+    /** What the call earns if it stands soon; a redial is mostly late. */
+    double value() {
+      return kind.worth() * (call.redial() ? kind.lateWorth() : 1);
+    }
+
     Held(Call call, CallClass kind, double taken, long order) {
       this.call = call;
       this.kind = kind;
@@ -821,7 +826,7 @@
 
     @Override
     public int compareTo(Held other) {
-      int byWorth = Double.compare(other.kind.worth(), kind.worth());
+      int byWorth = Double.compare(other.value(), value());
       return byWorth != 0 ? byWorth : Long.compare(order, other.order);
     }
   }
