One owner of the release guard; calls are held while the own processor is down

The guard was checked in three places, so taking out the gate's own check broke no test. The line and the further attempts now go through the gate alone. A skipped attempt with the own processor down used up the attempts of a call within a few clock steps; now all sends pause for the slow mark.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -118,6 +118,7 @@
   private int unanswered;
   private double ownAllowed = OWN_MOST;
   private double ownCutAt;
+  private double ownClosedUntil;
 
   /**
    * Makes a module.
@@ -179,7 +180,7 @@
       actions.refuse(call.id(), 0);
       return;
     }
-    Held held = new Held(call, settings.classes().get(call.type()), now, sequence++);
+    Held held = new Held(call, settings.classes().get(call.type()), sequence++);
     calls.put(call.id(), held);
     double margin = FINAL_STEPS * settings.resolution();
     held.finalBy = now + Math.max(0, call.patience() - margin);
@@ -436,6 +437,7 @@
     return held.out == null
         && !held.finished
         && now >= held.guardUntil
+        && now >= ownClosedUntil
         && unanswered < (int) ownAllowed
         && held.attempts < settings.maxAttempts()
         && first.number != settings.self()
@@ -481,11 +483,7 @@
       return;
     }
     serve = false;
-    for (Held held : new ArrayList<>(line)) {
-      if (now >= held.guardUntil) {
-        route(now, held);
-      }
-    }
+    new ArrayList<>(line).forEach(held -> route(now, held));
   }
 
   // ---- Answers of attempts ------------------------------------------------------------------
@@ -558,6 +556,14 @@
         }
       }
       case ERROR -> answered(now, attempt, ended.spent());
+      case SKIPPED -> {
+        // The own processor is down: what is sent now only uses up attempts.
+        if (ended.reason() == Reason.PROCESSOR_FULL) {
+          ownClosedUntil = now + slow;
+        } else {
+          attempt.first.free = Math.min(attempt.first.free, attempt.held.call.width() - 1);
+        }
+      }
       default -> {}
     }
   }
@@ -566,12 +572,9 @@
     if (ended.reason() == Reason.NUMBER_BUSY) {
       Crowded number = crowded.computeIfAbsent(held.call.number(), n -> new Crowded());
       number.until = now + CROWDED_MS;
-      number.trial = false;
       refuse(held);
     } else if (held.call.transit() || now >= held.aimBy - LEAST_AIM) {
       fail(held);
-    } else if (held.guardUntil > now || ended.outcome() == Outcome.SKIPPED) {
-      await(now, held);
     } else {
       route(now, held);
     }
@@ -611,7 +614,6 @@
 
   private static final class Crowded {
     double until;
-    boolean trial;
   }
 
   // ---- Far ends -----------------------------------------------------------------------------
@@ -799,7 +801,6 @@
   private static final class Held implements Comparable<Held> {
     final Call call;
     final CallClass kind;
-    final double taken;
     final long order;
     double finalBy;
     double aimBy;
@@ -817,10 +818,9 @@
       return kind.worth() * (call.redial() ? kind.lateWorth() : 1);
     }
 
-    Held(Call call, CallClass kind, double taken, long order) {
+    Held(Call call, CallClass kind, long order) {
       this.call = call;
       this.kind = kind;
-      this.taken = taken;
       this.order = order;
     }
 
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -91,6 +91,59 @@
     return bed.settings.guard();
   }
 
+  @Test
+  void aCallIsHeldWhileTheOwnProcessorIsDown() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.ended("a", 0, 2, Outcome.SKIPPED, Reason.PROCESSOR_FULL, 0);
+    bed.call("b", Bed.DEAR, 3);
+    assertEquals(1, bed.asked.of("send").size());
+    bed.pass(600);
+    bed.circuits(2, 20, 20);
+    assertEquals(3, bed.asked.of("send").size());
+  }
+
+  @Test
+  void aRedialIsBlockedBeforeFirstTriesOfItsClass() {
+    for (int i = 0; i < 200; i++) {
+      bed.circuits(2, 0, 20);
+      bed.circuits(1, 0, 20);
+      bed.circuits(3, 0, 20);
+      bed.call("c" + i, i % 10 == 0 ? Bed.DEAR : Bed.CHEAP, 2);
+      bed.pass(50);
+    }
+    bed.pass(4000);
+    int first = 0;
+    int again = 0;
+    for (int free = 1; free <= 20; free++) {
+      bed.circuits(2, free, 20);
+      for (boolean redial : new boolean[] {false, true}) {
+        String id = "f" + free + redial;
+        bed.policy.onCall(
+            bed.now, new CallPolicy.Call(id, 0, 3000, 1, id, 2, false, redial, false));
+        if (bed.asked.sentTo(id).isEmpty()) {
+          first = redial ? first : free;
+          again = redial ? free : again;
+        } else {
+          bed.stands(id, 0, 40);
+          bed.ended(id, 0, 2, Outcome.DONE, Reason.NONE);
+        }
+      }
+    }
+    assertTrue(first < again, first + " " + again);
+  }
+
+  @Test
+  void redialsWaitBehindFirstTries() {
+    for (int far = 1; far <= 3; far++) {
+      bed.circuits(far, 0, 20);
+    }
+    bed.policy.onCall(bed.now, new CallPolicy.Call("r", 0, 3000, 1, "n", 2, false, true, false));
+    bed.call("a", Bed.CHEAP, 2);
+    bed.circuits(2, 1, 20);
+    assertEquals(1, bed.asked.sentTo("a").size());
+    assertTrue(bed.asked.sentTo("r").isEmpty());
+  }
+
   @Test
   void everyCallGetsItsFinalAnswerInTime() {
     bed.call("a", Bed.CHEAP, 2);
