--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -144,6 +144,17 @@
     assertTrue(bed.asked.sentTo("r").isEmpty());
   }
 
+  @Test
+  void noMoreAttemptsThanAllowed() {
+    bed.call("a", Bed.CHEAP, 2);
+    for (int i = 0; i < bed.settings.maxAttempts(); i++) {
+      assertEquals(i + 1, bed.asked.sentTo("a").size());
+      bed.ended("a", i, 2, Outcome.ERROR, Reason.NONE, 20);
+    }
+    assertEquals(bed.settings.maxAttempts(), bed.asked.sentTo("a").size());
+    assertEquals(1, bed.asked.answers("a").size());
+  }
+
   @Test
   void everyCallGetsItsFinalAnswerInTime() {
     bed.call("a", Bed.CHEAP, 2);
