--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -59,17 +59,19 @@
   /** A tandem that turned back a call to some destination is left out for it so long, ms. */
   private static final double TURNED_BACK_MS = 1500;
 
-  /** Set-ups out toward one far end at first, and at most; one is the trial call. */
+  /** Set-ups out toward one far end at first; low, as the far end may be sick or cold. */
   private static final double OUT_FIRST = 4;
 
+  /** Set-ups out toward one far end at most; a warm processor answers these within an aim. */
   private static final double OUT_MOST = 16;
 
   /** Answers within this share of the shortest aim show a far end that keeps up. */
   private static final double SLOW_SHARE = 0.5;
 
-  /** All set-ups out of this controller at most, and at least when its processor is pressed. */
+  /** Set-ups out of this controller at most; seldom reached unless answers fail to come. */
   private static final double OWN_MOST = 32;
 
+  /** Set-ups out of this controller at least, so that it never stops sending altogether. */
   private static final double OWN_LEAST = 2;
 
   /** What a slow answer leaves of the set-ups allowed out. */
@@ -600,6 +602,10 @@
 
   // ---- Crowded numbers ----------------------------------------------------------------------
 
+  /**
+   * Guards against any number, or line behind it, that answers busy again and again. Could harm
+   * callers of a number whose lines come free within the pause.
+   */
   private boolean isCrowded(double now, String number) {
     Crowded state = crowded.get(number);
     if (state == null) {
@@ -672,7 +678,7 @@
           || free >= held.call.width() && size - free + held.call.width() <= threshold(held);
     }
 
-    /** Whether an alternative call leaves the reserve free. */
+    /** Whether an alternative call leaves the reserve free, which direct calls need more. */
     boolean spares(Held held) {
       double share = direct > 0 ? blocked / direct : 0;
       double reserve = RESERVE_BASE + RESERVE_SLOPE * share * size;
@@ -746,7 +752,11 @@
       return out.isEmpty() ? 0 : now - out.iterator().next().sent;
     }
 
-    /** Whether one more set-up may go out: few enough out, and an answer in time to expect. */
+    /**
+     * Whether one more set-up may go out: few enough out, and an answer in time to expect. Guards
+     * against attempts that only burn work, whether the far end is silent, slow, pressed or cold.
+     * Could harm a far end that recovered unseen: then the next trial call opens it again.
+     */
     boolean takes(double now, Held held) {
       if (now < closedUntil) {
         return false;
