--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -41,8 +41,8 @@
   /** Part of the exchange-wide mix kept at each computation; about a minute's memory. */
   private static final double MIX_KEEP = 0.97;
 
-  /** Circuits that alternative calls always leave free on a leg. */
-  private static final double RESERVE_BASE = 2;
+  /** Circuits that alternative calls always leave free on a leg, for the root of its size. */
+  private static final double RESERVE_BASE = 0.3;
 
   /** Further reserve as a share of the group, for a share 1 of direct calls blocked. */
   private static final double RESERVE_SLOPE = 0.5;
@@ -681,7 +681,7 @@
     /** Whether an alternative call leaves the reserve free, which direct calls need more. */
     boolean spares(Held held) {
       double share = direct > 0 ? blocked / direct : 0;
-      double reserve = RESERVE_BASE + RESERVE_SLOPE * share * size;
+      double reserve = Math.floor(RESERVE_BASE * Math.sqrt(size) + RESERVE_SLOPE * share * size);
       return Double.isNaN(size) || free - held.call.width() >= reserve;
     }
 
