Trials of a far end in trouble are spread over a doubling gap

Cause: each controller kept one set-up out toward a far end in trouble; with 90 controllers their sum is many times what a slowed processor does.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -86,6 +86,9 @@
   /** Share of its aim that a call must have left to be the trial call of a far end in doubt. */
   private static final double TRIAL_SHARE = 0.7;
 
+  /** Longest gap between trials of a far end in trouble, ms; about what calls of several aims take. */
+  private static final double GAP_MOST = 8000;
+
   /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
   private static final double CROWDED_MS = 1000;
 
@@ -541,7 +544,7 @@
   private void judge(double now, Attempt attempt, Ended ended) {
     switch (ended.outcome()) {
       case TIMED_OUT, REFUSED -> {
-        attempt.silent(ended.spent());
+        attempt.silent(now, ended.spent());
         learnOwn(now, ended.spent());
       }
       case BUSY -> {
@@ -658,6 +661,7 @@
     double delay;
     double cutAt;
     double closedUntil;
+    double gap;
 
     Far(int number) {
       this.number = number;
@@ -771,17 +775,33 @@
     void answered(double now, double spent) {
       delay += DELAY_WEIGHT * (spent - delay);
       if (spent <= slow) {
+        gap = gap > slow ? gap / 2 : 0;
         allowed = Math.min(OUT_MOST, allowed + 1 / allowed);
       } else if (now - spent >= cutAt) {
         cutAt = now;
-        allowed = Math.max(1, allowed * SLOW_CUT);
+        allowed *= SLOW_CUT;
+        spread(now);
       }
     }
 
-    void silent(double spent) {
+    void silent(double now, double spent) {
       if (spent >= slow) {
         delay += DELAY_WEIGHT * (spent - delay);
+        allowed = 0;
+        spread(now);
+      }
+    }
+
+    /**
+     * Under one set-up out the trials are spread, further apart after each that fails. Guards a far
+     * end in trouble against the sum of single trials from many controllers, whatever the trouble.
+     * Could harm calls to a far end that has just recovered: they wait for the next trial.
+     */
+    private void spread(double now) {
+      if (allowed < 1) {
         allowed = 1;
+        gap = Math.min(GAP_MOST, Math.max(slow, 2 * gap));
+        closedUntil = Math.max(closedUntil, now + gap * random.nextDouble());
       }
     }
 
@@ -872,10 +892,10 @@
       }
     }
 
-    void silent(double spent) {
-      first.silent(spent);
+    void silent(double now, double spent) {
+      first.silent(now, spent);
       if (first != destination) {
-        destination.silent(spent);
+        destination.silent(now, spent);
       }
     }
 
