--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -74,6 +74,12 @@
   /** Set-ups out of this controller at least, so that it never stops sending altogether. */
   private static final double OWN_LEAST = 2;
 
+  /** Far ends that answer badly in turn before the own processor is held for the cause. */
+  private static final int OWN_RUN = 6;
+
+  /** Longest gap between set-ups of a pressed own processor, ms. */
+  private static final double OWN_GAP_MOST = 2000;
+
   /** What a slow answer leaves of the set-ups allowed out. */
   private static final double SLOW_CUT = 0.7;
 
@@ -122,6 +128,8 @@
   private boolean serve;
   private int unanswered;
   private double ownAllowed = OWN_MOST;
+  private double ownGap;
+  private final TreeSet<Integer> badRun = new TreeSet<>();
   private double ownCutAt;
   private double ownClosedUntil;
 
@@ -520,36 +528,51 @@
     if (attempt.answered) {
       return;
     }
-    attempt.answered(now, spent);
     unanswered--;
-    learnOwn(now, spent);
+    learnOwn(now, spent, attempt.first, spent <= slow);
+    attempt.answered(now, spent);
   }
 
   /**
-   * Where most far ends look slow at once the own processor, which every set-up passes, is the
-   * likelier cause: all set-ups out are then limited together, never below a few.
+   * Where many far ends in turn answer badly with no good answer between, the own processor, which
+   * every set-up passes, is the likelier cause: all set-ups out are then limited together, and when
+   * few are left they are spread in time. Guards whatever slows the own processor. Could harm when
+   * most far ends really are in trouble at once: then calls to the sound ones wait too.
    */
-  private void learnOwn(double now, double spent) {
-    long known = fars.values().stream().filter(f -> f.delay > 0).count();
-    long late = fars.values().stream().filter(f -> f.delay > slow).count();
-    if (2 * late <= known) {
+  private boolean learnOwn(double now, double spent, Far far, boolean good) {
+    if (good) {
+      badRun.clear();
+      ownGap = ownGap > slow ? ownGap / 2 : 0;
       ownAllowed = Math.min(OWN_MOST, ownAllowed + 2 / ownAllowed);
-    } else if (spent > slow && now - spent >= ownCutAt) {
+      return false;
+    }
+    badRun.add(far.number);
+    boolean own = badRun.size() >= Math.min(OWN_RUN, list.size() / 2 + 1);
+    if (own && now - spent >= ownCutAt) {
       ownCutAt = now;
-      ownAllowed = Math.max(OWN_LEAST, Math.min(ownAllowed, unanswered + 1) * SLOW_CUT);
+      ownAllowed = Math.min(ownAllowed, unanswered + 1) * SLOW_CUT;
+      if (ownAllowed < OWN_LEAST) {
+        ownAllowed = OWN_LEAST;
+        ownGap = Math.min(OWN_GAP_MOST, Math.max(slow, 2 * ownGap));
+        ownClosedUntil = Math.max(ownClosedUntil, now + ownGap * random.nextDouble());
+      }
     }
+    return own;
   }
 
   /** What the end of a set-up says of the far ends. */
   private void judge(double now, Attempt attempt, Ended ended) {
     switch (ended.outcome()) {
       case TIMED_OUT, REFUSED -> {
-        attempt.silent(now, ended.spent());
-        learnOwn(now, ended.spent());
+        if (!learnOwn(now, ended.spent(), attempt.first, ended.spent() < slow)) {
+          attempt.silent(now, ended.spent());
+        }
       }
       case BUSY -> {
         if (ended.reason() == Reason.PROCESSOR_FULL) {
-          attempt.first.pressed(now, ended.askedWait());
+          if (!learnOwn(now, ended.spent(), attempt.first, false)) {
+            attempt.first.pressed(now, ended.askedWait());
+          }
         } else if (ended.reason() == Reason.FULL_BEYOND) {
           attempt.destination.pressed(now, ended.askedWait());
         } else {
