--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -75,7 +75,7 @@
   private static final double SLOW_SHARE = 0.5;
 
   /** Set-ups out of this controller at most; seldom reached unless answers fail to come. */
-  private static final double OWN_MOST = 32;
+  private static final double OWN_MOST = 12;
 
   /** Set-ups out of this controller at least, so that it never stops sending altogether. */
   private static final double OWN_LEAST = 2;
