--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -75,10 +75,10 @@
   private static final double SLOW_SHARE = 0.5;
 
   /** Set-ups out of this controller at most; seldom reached unless answers fail to come. */
-  private static final double OWN_MOST = 12;
+  private static final double OWN_MOST = 16;
 
   /** Set-ups out of this controller at least, so that it never stops sending altogether. */
-  private static final double OWN_LEAST = 2;
+  private static final double OWN_LEAST = 1;
 
   /** Far ends that answer badly in turn before the own processor is held for the cause. */
   private static final int OWN_RUN = 6;
@@ -134,7 +134,7 @@
   private long sequence;
   private boolean serve;
   private int unanswered;
-  private double ownAllowed = OWN_MOST;
+  private double ownAllowed = OWN_MOST / 3;
   private double ownGap;
   private final TreeSet<Integer> badRun = new TreeSet<>();
   private double ownCutAt;
@@ -554,7 +554,7 @@
     if (good) {
       badRun.clear();
       ownGap = ownGap > slow ? ownGap / 2 : 0;
-      ownAllowed = Math.min(OWN_MOST, ownAllowed + 2 / ownAllowed);
+      ownAllowed = Math.min(OWN_MOST, ownAllowed + 1 / ownAllowed);
       return false;
     }
     badRun.add(far.number);
