--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -56,7 +57,9 @@
   /** Tandems that one call tries; each turned back costs work at two exchanges. */
   private static final int TANDEM_TRIES = 2;
 
-  /** Exchanges drawn at most in search of a tandem, so that the cost does not grow with the fleet. */
+  /**
+   * Exchanges drawn at most in search of a tandem, so that the cost does not grow with the fleet.
+   */
   private static final int TANDEM_DRAWS = 16;
 
   /** Fit tandems among which the one with most room is taken. */
@@ -98,7 +101,9 @@
   /** Share of its aim that a call must have left to be the trial call of a far end in doubt. */
   private static final double TRIAL_SHARE = 0.7;
 
-  /** Longest gap between trials of a far end in trouble, ms; about what calls of several aims take. */
+  /**
+   * Longest gap between trials of a far end in trouble, ms; about what calls of several aims take.
+   */
   private static final double GAP_MOST = 8000;
 
   /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
@@ -331,15 +336,18 @@
     }
   }
 
-  /** Of the first fit tandems (or pools of second choice) drawn at random, the one with most room. */
+  /**
+   * Of the first fit tandems (or pools of second choice) drawn at random, the one with most room.
+   */
   private void routeAlternative(double now, Held held) {
     Far destination = far(held.call.destination());
     Far best = null;
     int fit = 0;
-    int left = held.tandems < TANDEM_TRIES ? Math.min(TANDEM_DRAWS, 2 * others.size()) : 0;
-    for (; left > 0 && fit < TANDEM_FIT; left--) {
-      Far far = others.get(random.nextInt(others.size()));
-      if (far != best && isFit(now, held, far, destination)) {
+    int most = held.tandems < TANDEM_TRIES ? Math.min(TANDEM_DRAWS, others.size()) : 0;
+    for (int i = 0; i < most && fit < TANDEM_FIT; i++) {
+      Collections.swap(others, i, i + random.nextInt(others.size() - i));
+      Far far = others.get(i);
+      if (isFit(now, held, far, destination)) {
         fit++;
         best = best == null || far.free > best.free ? far : best;
       }
@@ -811,29 +819,31 @@
       if (spent <= slow) {
         gap = gap > slow ? gap / 2 : 0;
         allowed = Math.min(OUT_MOST, allowed + 1 / allowed);
-      } else if (now - spent >= cutAt) {
-        cutAt = now;
-        allowed *= SLOW_CUT;
-        spread(now);
+      } else {
+        cut(now, spent, allowed * SLOW_CUT);
       }
     }
 
     void silent(double now, double spent) {
       if (spent >= slow) {
         delay += DELAY_WEIGHT * (spent - delay);
-        allowed = 0;
-        spread(now);
+        cut(now, spent, 0);
       }
     }
 
     /**
-     * Under one set-up out the trials are spread, further apart after each that fails. Guards a far
-     * end in trouble against the sum of single trials from many controllers, whatever the trouble.
-     * Could harm calls to a far end that has just recovered: they wait for the next trial.
+     * One cut for all set-ups of one round. Under one set-up out the trials are spread, further
+     * apart after each that fails. Guards a far end in trouble against the sum of single trials
+     * from many controllers, whatever the trouble. Could harm calls to a far end that has just
+     * recovered: they wait for the next trial.
      */
-    private void spread(double now) {
-      if (allowed < 1) {
-        allowed = 1;
+    private void cut(double now, double spent, double left) {
+      if (now - spent < cutAt) {
+        return;
+      }
+      cutAt = now;
+      allowed = Math.max(1, left);
+      if (left < 1) {
         gap = Math.min(GAP_MOST, Math.max(slow, 2 * gap));
         closedUntil = Math.max(closedUntil, now + gap * random.nextDouble());
       }
