--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -30,6 +30,9 @@
   /** Window over which arrivals are counted, ms; DESIGN's value. */
   private static final double WINDOW = 10000;
 
+  /** Beat by which the module sees that it stood still, ms; short beside every aim. */
+  private static final double BEAT = 100;
+
   /** Discount of the recursion for each step; DESIGN's value, a horizon of about one hold. */
   private static final double DISCOUNT = 0.99;
 
@@ -118,6 +121,7 @@
   // ---- What is remembered -------------------------------------------------------------------
 
   private static final long PERIODIC = 0;
+  private static final long HEARTBEAT = 1;
 
   private final Settings settings;
   private final Actions actions;
@@ -136,11 +140,14 @@
   private final ArrayDeque<Double> ownArrivals = new ArrayDeque<>();
   private double ownRate;
   private double started;
-  private long sequence;
+  private long sequence = HEARTBEAT;
   private boolean serve;
   private int unanswered;
   private double ownAllowed = OWN_MOST / 3;
   private double ownGap;
+  private double seen;
+  private double stall;
+  private final double[] patience;
   private final TreeSet<Integer> badRun = new TreeSet<>();
   private double ownCutAt;
   private double ownClosedUntil;
@@ -157,6 +164,7 @@
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.mix = new double[settings.classes().size()];
+    this.patience = new double[mix.length];
     this.dearest = settings.classes().stream().mapToDouble(CallClass::worth).max().orElse(0);
     this.cheapest = settings.classes().stream().mapToDouble(CallClass::worth).min().orElse(0);
     double aim = settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
@@ -169,7 +177,9 @@
   @Override
   public void onStart(double now) {
     started = now;
+    seen = now;
     actions.wake(PERIOD, PERIODIC);
+    actions.wake(BEAT, HEARTBEAT);
     if (settings.listByAsking()) {
       actions.subscribe();
     }
@@ -177,6 +187,7 @@
 
   @Override
   public void onList(double now, ListNews news) {
+    notice(now);
     if (news.complete()) {
       list.clear();
     }
@@ -203,6 +214,7 @@
 
   @Override
   public void onCall(double now, Call call) {
+    notice(now);
     if (call.type() < 0 || call.type() >= settings.classes().size()) {
       actions.refuse(call.id(), 0);
       return;
@@ -211,7 +223,7 @@
     calls.put(call.id(), held);
     double margin = FINAL_STEPS * settings.resolution();
     held.finalBy = now + Math.max(0, call.patience() - margin);
-    held.aimBy = Math.min(held.finalBy, now + held.kind.aim());
+    held.aimBy = Math.min(held.finalBy, now + aimLeft(held));
     wake(held, held.finalBy - now);
     count(now, call);
     if (isCrowded(now, call.number())) {
@@ -224,13 +236,14 @@
 
   @Override
   public void onStands(double now, Stands stands) {
+    notice(now);
     Held held = calls.get(stands.call());
     if (held != null && held.out != null && held.out.number == stands.attempt()) {
       held.standing = true;
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
-      answered(now, held.out, stands.spent());
+      answered(now, held.out, unlagged(stands.spent()));
       serve = true;
     }
     serveLine(now);
@@ -238,6 +251,7 @@
 
   @Override
   public void onEnded(double now, Ended ended) {
+    notice(now);
     learnCircuits(ended.exchange(), ended.load());
     Held held = calls.get(ended.call());
     if (held != null && held.out != null && held.out.number == ended.attempt()) {
@@ -262,6 +276,7 @@
 
   @Override
   public void onReport(double now, Report report) {
+    notice(now);
     learnCircuits(report.exchange(), report.load());
     serve = true;
     serveLine(now);
@@ -269,7 +284,10 @@
 
   @Override
   public void onTimer(double now, long label) {
-    if (label == PERIODIC) {
+    notice(now);
+    if (label == HEARTBEAT) {
+      actions.wake(BEAT, HEARTBEAT);
+    } else if (label == PERIODIC) {
       recompute(now);
       actions.wake(PERIOD, PERIODIC);
     }
@@ -286,6 +304,32 @@
     // The module sends no messages, so any that comes is not meant for this version.
   }
 
+  /**
+   * A gap in the module's own beat tells how long it stood still. Guards the estimates of far ends
+   * against answers that lay unread, and the line against calls whose aim went by unseen, whatever
+   * held the controller up. Could harm by taking a truly slow answer of that moment for a quick
+   * one.
+   */
+  private void notice(double now) {
+    if (now > seen) {
+      stall = now - seen > 2 * BEAT ? now - seen : 0;
+      seen = now;
+    }
+  }
+
+  /** Time to the aim of a new call. One that came too late for it is placed with the redials. */
+  private double aimLeft(Held held) {
+    double aim = held.kind.aim();
+    int type = held.call.type();
+    if (held.late || held.call.transit() || held.call.returned()) {
+      return aim;
+    }
+    patience[type] = Math.max(patience[type], held.call.patience());
+    double left = aim - Math.min(stall, patience[type] - held.call.patience());
+    held.late = left < Math.max(LEAST_AIM, far(held.call.destination()).delay);
+    return held.late ? aim : left;
+  }
+
   private void callTimer(double now, Held held) {
     if (now >= held.finalBy) {
       if (held.out != null && settings.mayCancel()) {
@@ -579,30 +623,36 @@
     return own;
   }
 
+  /** Time of an answer without that in which this controller stood still. */
+  private double unlagged(double spent) {
+    return Math.max(0, spent - stall);
+  }
+
   /** What the end of a set-up says of the far ends. */
   private void judge(double now, Attempt attempt, Ended ended) {
+    double spent = unlagged(ended.spent());
     switch (ended.outcome()) {
       case TIMED_OUT, REFUSED -> {
-        if (!learnOwn(now, ended.spent(), attempt.first, ended.spent() < slow)) {
-          attempt.silent(now, ended.spent());
+        if (!learnOwn(now, spent, attempt.first, spent < slow)) {
+          attempt.silent(now, spent);
         }
       }
       case BUSY -> {
         if (ended.reason() == Reason.PROCESSOR_FULL) {
-          if (!learnOwn(now, ended.spent(), attempt.first, false)) {
+          if (!learnOwn(now, spent, attempt.first, false)) {
             attempt.first.pressed(now, ended.askedWait());
           }
         } else if (ended.reason() == Reason.FULL_BEYOND) {
           attempt.destination.pressed(now, ended.askedWait());
         } else {
-          answered(now, attempt, ended.spent());
+          answered(now, attempt, spent);
         }
         if (attempt.first != attempt.destination) {
           double until = now + TURNED_BACK_MS;
           attempt.first.turnedBack.put(attempt.destination.number, until);
         }
       }
-      case ERROR -> answered(now, attempt, ended.spent());
+      case ERROR -> answered(now, attempt, spent);
       case SKIPPED -> {
         // The own processor is down: what is sent now only uses up attempts.
         if (ended.reason() == Reason.PROCESSOR_FULL) {
@@ -714,7 +764,7 @@
     }
 
     double threshold(Held held) {
-      boolean again = held.call.redial();
+      boolean again = held.late;
       boolean open = thresholds == null || held.kind.worth() >= dearest && !again;
       return open ? size : thresholds[held.call.type() + (again ? mix.length : 0)];
     }
@@ -882,6 +932,7 @@
     int attempts;
     int tandems;
     Attempt out;
+    boolean late;
     boolean standing;
     boolean finished;
     boolean offered;
@@ -889,13 +940,14 @@
 
     /** What the call earns if it stands soon; a redial is mostly late. */
     double value() {
-      return kind.worth() * (call.redial() ? kind.lateWorth() : 1);
+      return kind.worth() * (late ? kind.lateWorth() : 1);
     }
 
     Held(Call call, CallClass kind, long order) {
       this.call = call;
       this.kind = kind;
       this.order = order;
+      this.late = call.redial();
     }
 
     @Override
