--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -136,12 +136,11 @@
   private final Map<String, Held> calls = new LinkedHashMap<>();
   private final TreeSet<Held> line = new TreeSet<>();
   private final Map<Long, Held> timers = new LinkedHashMap<>();
-  private final Map<String, Crowded> crowded = new LinkedHashMap<>();
+  private final Map<String, Double> crowded = new LinkedHashMap<>();
   private final ArrayDeque<Double> ownArrivals = new ArrayDeque<>();
   private double ownRate;
   private double started;
   private long sequence = HEARTBEAT;
-  private boolean serve;
   private int unanswered;
   private double ownAllowed = OWN_MOST / 3;
   private double ownGap;
@@ -153,11 +152,7 @@
   private double ownClosedUntil;
 
   /**
-   * Makes a module.
-   *
-   * @param settings what the controller is told at start
-   * @param seed seed of every random choice
-   * @param actions takes what the module asks for
+   * Makes a module from what the controller is told at start; the seed is of every random choice.
    */
   public NestedThresholdPolicy(Settings settings, long seed, Actions actions) {
     this.settings = settings;
@@ -208,7 +203,6 @@
     }
     others.clear();
     fars.values().stream().filter(far -> far.current != null).forEach(others::add);
-    serve = true;
     serveLine(now);
   }
 
@@ -231,7 +225,6 @@
     } else {
       route(now, held);
     }
-    serveLine(now);
   }
 
   @Override
@@ -243,10 +236,9 @@
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
-      answered(now, held.out, unlagged(stands.spent()));
-      serve = true;
+      answered(now, held.out, Math.max(0, stands.spent() - stall));
+      serveLine(now);
     }
-    serveLine(now);
   }
 
   @Override
@@ -257,7 +249,6 @@
     if (held != null && held.out != null && held.out.number == ended.attempt()) {
       attemptEnded(now, held, ended);
     }
-    serve = true;
     serveLine(now);
   }
 
@@ -265,20 +256,14 @@
   public void onCallerLeft(double now, String call) {
     Held held = calls.get(call);
     if (held != null) {
-      held.finished = true;
-      line.remove(held);
-      if (held.out == null) {
-        calls.remove(call);
-      }
+      finish(held);
     }
-    serveLine(now);
   }
 
   @Override
   public void onReport(double now, Report report) {
     notice(now);
     learnCircuits(report.exchange(), report.load());
-    serve = true;
     serveLine(now);
   }
 
@@ -295,7 +280,6 @@
     if (held != null && !held.finished && !held.standing) {
       callTimer(now, held);
     }
-    serve = true;
     serveLine(now);
   }
 
@@ -372,7 +356,8 @@
     } else {
       far.offered(held, true);
       if (far.threshold(held) >= far.size) {
-        far.overflows(held);
+        far.overflowed += held.overflowed ? 0 : 1;
+        held.overflowed = true;
         routeAlternative(now, held);
       } else {
         refuse(held);
@@ -405,18 +390,15 @@
   }
 
   private boolean isFit(double now, Held held, Far far, Far destination) {
-    if (far == destination || far.number == settings.self()) {
-      return false;
-    }
     boolean pools = settings.layout() == Layout.POOLS;
-    if (pools && !held.kind.pools().isEmpty() && !held.kind.pools().contains(far.number)) {
-      return false;
-    }
-    return far.hasGroup()
+    List<Integer> allowed = held.kind.pools();
+    return (!pools || allowed.isEmpty() || allowed.contains(far.number))
+        && far != destination
+        && far.hasGroup()
         && far.spares(held)
         && far.allowed >= 2
         && far.delay + destination.delay < slow
-        && far.oldestAge(now) < slow
+        && (far.out.isEmpty() || now - far.out.iterator().next().sent < slow)
         && far.turnedBack.getOrDefault(destination.number, 0.0) <= now
         && maySend(now, held, far, pools ? far : destination);
   }
@@ -456,17 +438,13 @@
     for (int k = 0; k < mix.length; k++) {
       mix[k] *= MIX_KEEP;
     }
-    crowded.values().removeIf(c -> now > c.until + WINDOW);
+    crowded.values().removeIf(until -> now > until + WINDOW);
   }
 
   /**
-   * The report's value recursion on the busy count of one group, for Poisson arrivals.
-   *
-   * @param size circuits of the group
-   * @param rates arrivals of each class, per ms
-   * @param hold mean holding time, ms
-   * @param costs cost of blocking a call of each class
-   * @return for each class the first occupancy at which blocking it is cheaper; the size if none
+   * The report's value recursion on the busy count of one group, for Poisson arrivals: rates per
+   * ms, hold in ms. Gives for each class the first occupancy at which blocking it is cheaper, or
+   * the size.
    */
   static int[] thresholds(int size, double[] rates, double hold, double[] costs) {
     double service = 1 / hold;
@@ -513,8 +491,7 @@
     return held.out == null
         && !held.finished
         && now >= held.guardUntil
-        && now >= ownClosedUntil
-        && unanswered < (int) ownAllowed
+        && ownTakes(now)
         && held.attempts < settings.maxAttempts()
         && first.number != settings.self()
         && first.current != null
@@ -524,6 +501,10 @@
         && first.withinColdBudget(now);
   }
 
+  private boolean ownTakes(double now) {
+    return now >= ownClosedUntil && unanswered < (int) ownAllowed;
+  }
+
   private void send(double now, Held held, Far first, Far destination) {
     line.remove(held);
     unanswered++;
@@ -555,11 +536,12 @@
   }
 
   private void serveLine(double now) {
-    if (!serve) {
-      return;
+    for (Held held : new ArrayList<>(line)) {
+      if (!ownTakes(now)) {
+        return;
+      }
+      route(now, held);
     }
-    serve = false;
-    new ArrayList<>(line).forEach(held -> route(now, held));
   }
 
   // ---- Answers of attempts ------------------------------------------------------------------
@@ -573,7 +555,7 @@
       judge(now, attempt, ended);
     }
     unanswered -= attempt.answered ? 0 : 1;
-    attempt.release();
+    attempt.over();
     if (ended.last() || held.finished) {
       held.finished = true;
       calls.remove(held.call.id());
@@ -623,14 +605,9 @@
     return own;
   }
 
-  /** Time of an answer without that in which this controller stood still. */
-  private double unlagged(double spent) {
-    return Math.max(0, spent - stall);
-  }
-
   /** What the end of a set-up says of the far ends. */
   private void judge(double now, Attempt attempt, Ended ended) {
-    double spent = unlagged(ended.spent());
+    double spent = Math.max(0, ended.spent() - stall);
     switch (ended.outcome()) {
       case TIMED_OUT, REFUSED -> {
         if (!learnOwn(now, spent, attempt.first, spent < slow)) {
@@ -667,8 +644,7 @@
 
   private void next(double now, Held held, Ended ended) {
     if (ended.reason() == Reason.NUMBER_BUSY) {
-      Crowded number = crowded.computeIfAbsent(held.call.number(), n -> new Crowded());
-      number.until = now + CROWDED_MS;
+      crowded.put(held.call.number(), now + CROWDED_MS);
       refuse(held);
     } else if (held.call.transit() || now >= held.aimBy - LEAST_AIM) {
       fail(held);
@@ -702,19 +678,11 @@
    * callers of a number whose lines come free within the pause.
    */
   private boolean isCrowded(double now, String number) {
-    Crowded state = crowded.get(number);
-    if (state == null) {
-      return false;
-    }
-    if (now < state.until) {
-      return true;
+    double until = crowded.getOrDefault(number, Double.POSITIVE_INFINITY);
+    if (now >= until) {
+      crowded.put(number, now + CROWDED_MS);
     }
-    state.until = now + CROWDED_MS;
-    return false;
-  }
-
-  private static final class Crowded {
-    double until;
+    return now < until && crowded.containsKey(number);
   }
 
   // ---- Far ends -----------------------------------------------------------------------------
@@ -789,13 +757,6 @@
       }
     }
 
-    void overflows(Held held) {
-      if (!held.overflowed) {
-        held.overflowed = true;
-        overflowed++;
-      }
-    }
-
     /** Share of the calls that found the group full and yet stood lately. */
     private double rescued() {
       return Math.min(1, (carried + RESCUE_WEIGHT) / (overflowed + RESCUE_WEIGHT));
@@ -816,14 +777,13 @@
 
     /** Own arrivals by class, and those of the other users of the group read off its circuits. */
     private int[] computed(double span) {
-      int classes = mix.length;
       double mixed = Arrays.stream(mix).sum();
-      double[] rates = new double[2 * classes];
-      double[] costs = new double[2 * classes];
+      double[] rates = new double[2 * mix.length];
+      double[] costs = new double[2 * mix.length];
       double hold = 0;
       double width = 0;
       double own = arrivals.size() / span;
-      for (int k = 0; k < classes; k++) {
+      for (int k = 0; k < mix.length; k++) {
         final int type = k;
         double counted = arrivals.stream().filter(a -> a[1] == type).count();
         double share = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
@@ -835,19 +795,15 @@
       }
       double seen = Math.max(0, size - free - ownBusy) / width / hold;
       others += (seen - others) / 2;
-      for (int k = 0; k < classes; k++) {
+      for (int k = 0; k < mix.length; k++) {
         rates[k] *= own + others;
         CallClass kind = settings.classes().get(k);
         double late = kind.worth() * kind.lateWorth();
-        costs[classes + k] = cheapest + (late - cheapest) * (1 - rescued());
+        costs[mix.length + k] = cheapest + (late - cheapest) * (1 - rescued());
       }
       return NestedThresholdPolicy.thresholds((int) size, rates, hold, costs);
     }
 
-    double oldestAge(double now) {
-      return out.isEmpty() ? 0 : now - out.iterator().next().sent;
-    }
-
     /**
      * Whether one more set-up may go out: few enough out, and an answer in time to expect. Guards
      * against attempts that only burn work, whether the far end is silent, slow, pressed or cold.
@@ -963,6 +919,7 @@
     final double sent;
     final Far first;
     final Far destination;
+    final List<Far> ends;
     final Held held;
     boolean answered;
 
@@ -972,32 +929,29 @@
       this.first = first;
       this.destination = destination;
       this.held = held;
-      first.out.add(this);
-      destination.out.add(this);
+      this.ends = first == destination ? List.of(first) : List.of(first, destination);
+      ends.forEach(far -> far.out.add(this));
     }
 
     void answered(double now, double spent) {
       if (!answered) {
         answered = true;
-        first.out.remove(this);
-        destination.out.remove(this);
-        first.answered(now, spent);
-        if (first != destination) {
-          destination.answered(now, spent);
-        }
+        release();
+        ends.forEach(far -> far.answered(now, spent));
       }
     }
 
     void silent(double now, double spent) {
-      first.silent(now, spent);
-      if (first != destination) {
-        destination.silent(now, spent);
-      }
+      ends.forEach(far -> far.silent(now, spent));
     }
 
     void release() {
-      first.out.remove(this);
-      destination.out.remove(this);
+      ends.forEach(far -> far.out.remove(this));
+    }
+
+    /** The circuits toward the first exchange are free again. */
+    void over() {
+      release();
       if (first == destination && !held.call.transit()) {
         first.ownBusy -= held.call.width();
       }
