--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import coveladder.CallPolicy.Call;
 import coveladder.CallPolicy.Exchange;
 import coveladder.CallPolicy.Layout;
 import coveladder.CallPolicy.Outcome;
@@ -277,6 +278,37 @@
     assertTrue(tried >= 1 && tried <= 3, "tried " + tried);
   }
 
+  /** A controller that stood still finds old answers; the far end that gave them is not slow. */
+  @Test
+  void ownStallsAreNotChargedToFarEnds() {
+    for (int round = 0; round < 8; round++) {
+      bed.call("s" + round, Bed.CHEAP, 2);
+      bed.now += 900;
+      bed.stands("s" + round, 0, 900);
+    }
+    bed.pass(200);
+    for (int i = 0; i < 4; i++) {
+      bed.call("a" + i, Bed.CHEAP, 2);
+      assertEquals(List.of("x2"), bed.asked.sentTo("a" + i));
+    }
+  }
+
+  /** Of calls that lay unread those that can still make their aim go first, dearest first. */
+  @Test
+  void callsWhoseAimWentByInAStallGoLast() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.pass(200);
+    for (int far = 1; far <= 3; far++) {
+      bed.circuits(far, 0, 20);
+    }
+    bed.now += 1500;
+    bed.policy.onCall(bed.now, new Call("old", Bed.CHEAP, 1600, 1, "n", 2, false, false, false));
+    bed.call("new", Bed.CHEAP, 2);
+    bed.circuits(2, 1, 20);
+    assertEquals(List.of("x2"), bed.asked.sentTo("new"));
+    assertTrue(bed.asked.sentTo("old").isEmpty());
+  }
+
   @Test
   void aCallNearTheEndOfItsAimIsNoTrial() {
     aSilentExchangeIsTriedByOneCallAtATime();
