--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -850,7 +850,7 @@
       cutAt = now;
       allowed = Math.max(1, left);
       if (left < 1) {
-        gap = Math.min(GAP_MOST, Math.max(slow, 2 * gap));
+        gap = Math.min(GAP_MOST, Math.max(2 * gap, Math.max(slow, WINDOW / (1 + arrivals.size()))));
         closedUntil = Math.max(closedUntil, now + gap * random.nextDouble());
       }
     }
