--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -722,6 +722,7 @@
     double cutAt;
     double closedUntil;
     double gap;
+    int silences;
 
     Far(int number) {
       this.number = number;
@@ -823,6 +824,7 @@
     void answered(double now, double spent) {
       delay += DELAY_WEIGHT * (spent - delay);
       if (spent <= slow) {
+        silences = 0;
         gap = gap > slow ? gap / 2 : 0;
         allowed = Math.min(OUT_MOST, allowed + 1 / allowed);
       } else {
@@ -833,7 +835,7 @@
     void silent(double now, double spent) {
       if (spent >= slow) {
         delay += DELAY_WEIGHT * (spent - delay);
-        cut(now, spent, 0);
+        cut(now, spent, silences++ == 0 ? Math.max(1, allowed / 2) : 0);
       }
     }
 
