--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -722,7 +722,6 @@
     double cutAt;
     double closedUntil;
     double gap;
-    int silences;
 
     Far(int number) {
       this.number = number;
@@ -824,7 +823,6 @@
     void answered(double now, double spent) {
       delay += DELAY_WEIGHT * (spent - delay);
       if (spent <= slow) {
-        silences = 0;
         gap = gap > slow ? gap / 2 : 0;
         allowed = Math.min(OUT_MOST, allowed + 1 / allowed);
       } else {
@@ -835,7 +833,7 @@
     void silent(double now, double spent) {
       if (spent >= slow) {
         delay += DELAY_WEIGHT * (spent - delay);
-        cut(now, spent, silences++ == 0 ? Math.max(1, allowed / 2) : 0);
+        cut(now, spent, 0);
       }
     }
 
@@ -852,7 +850,7 @@
       cutAt = now;
       allowed = Math.max(1, left);
       if (left < 1) {
-        gap = Math.min(GAP_MOST, Math.max(2 * gap, Math.max(slow, WINDOW / (1 + arrivals.size()))));
+        gap = Math.min(GAP_MOST, Math.max(slow, 2 * gap));
         closedUntil = Math.max(closedUntil, now + gap * random.nextDouble());
       }
     }
