--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -215,8 +215,7 @@
     }
     Held held = new Held(call, settings.classes().get(call.type()), sequence++);
     calls.put(call.id(), held);
-    double margin = FINAL_STEPS * settings.resolution();
-    held.finalBy = now + Math.max(0, call.patience() - margin);
+    held.finalBy = now + Math.max(0, call.patience() - FINAL_STEPS * settings.resolution());
     held.aimBy = Math.min(held.finalBy, now + aimLeft(held));
     wake(held, held.finalBy - now);
     count(now, call);
@@ -233,6 +232,7 @@
     Held held = calls.get(stands.call());
     if (held != null && held.out != null && held.out.number == stands.attempt()) {
       held.standing = true;
+      held.out.destination.carriers.add(held.out.first);
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
@@ -366,19 +366,23 @@
   }
 
   /**
-   * Of the first fit tandems (or pools of second choice) drawn at random, the one with most room.
+   * Of the fit tandems (or pools of second choice) that lately carried a call there the one with
+   * most room; where there is none, the same of the first fit ones drawn at random.
    */
   private void routeAlternative(double now, Held held) {
     Far destination = far(held.call.destination());
     Far best = null;
-    int fit = 0;
-    int most = held.tandems < TANDEM_TRIES ? Math.min(TANDEM_DRAWS, others.size()) : 0;
-    for (int i = 0; i < most && fit < TANDEM_FIT; i++) {
-      Collections.swap(others, i, i + random.nextInt(others.size() - i));
-      Far far = others.get(i);
-      if (isFit(now, held, far, destination)) {
-        fit++;
-        best = best == null || far.free > best.free ? far : best;
+    if (held.tandems < TANDEM_TRIES) {
+      for (Far far : destination.carriers) {
+        best = isFit(now, held, far, destination) ? roomier(best, far) : best;
+      }
+      int fit = best == null ? 0 : TANDEM_FIT;
+      for (int i = 0; i < Math.min(TANDEM_DRAWS, others.size()) && fit < TANDEM_FIT; i++) {
+        Collections.swap(others, i, i + random.nextInt(others.size() - i));
+        if (isFit(now, held, others.get(i), destination)) {
+          fit++;
+          best = roomier(best, others.get(i));
+        }
       }
     }
     if (best == null) {
@@ -389,6 +393,10 @@
     send(now, held, best, destination);
   }
 
+  private static Far roomier(Far one, Far other) {
+    return one == null || other.free > one.free ? other : one;
+  }
+
   private boolean isFit(double now, Held held, Far far, Far destination) {
     boolean pools = settings.layout() == Layout.POOLS;
     List<Integer> allowed = held.kind.pools();
@@ -611,7 +619,7 @@
     switch (ended.outcome()) {
       case TIMED_OUT, REFUSED -> {
         if (!learnOwn(now, spent, attempt.first, spent < slow)) {
-          attempt.silent(now, spent);
+          attempt.ends.forEach(far -> far.silent(now, spent));
         }
       }
       case BUSY -> {
@@ -624,10 +632,8 @@
         } else {
           answered(now, attempt, spent);
         }
-        if (attempt.first != attempt.destination) {
-          double until = now + TURNED_BACK_MS;
-          attempt.first.turnedBack.put(attempt.destination.number, until);
-        }
+        attempt.first.turnedBack.put(attempt.destination.number, now + TURNED_BACK_MS);
+        attempt.destination.carriers.remove(attempt.first);
       }
       case ERROR -> answered(now, attempt, spent);
       case SKIPPED -> {
@@ -706,6 +712,7 @@
     final ArrayDeque<double[]> arrivals = new ArrayDeque<>();
     final ArrayDeque<Double> sends = new ArrayDeque<>();
     final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
+    final LinkedHashSet<Far> carriers = new LinkedHashSet<>();
     final Map<Integer, Double> turnedBack = new TreeMap<>();
     Exchange current;
     double free = Double.NaN;
@@ -732,9 +739,8 @@
     }
 
     double threshold(Held held) {
-      boolean again = held.late;
-      boolean open = thresholds == null || held.kind.worth() >= dearest && !again;
-      return open ? size : thresholds[held.call.type() + (again ? mix.length : 0)];
+      boolean open = thresholds == null || held.kind.worth() >= dearest && !held.late;
+      return open ? size : thresholds[held.call.type() + (held.late ? mix.length : 0)];
     }
 
     boolean admits(Held held) {
@@ -934,15 +940,9 @@
     }
 
     void answered(double now, double spent) {
-      if (!answered) {
-        answered = true;
-        release();
-        ends.forEach(far -> far.answered(now, spent));
-      }
-    }
-
-    void silent(double now, double spent) {
-      ends.forEach(far -> far.silent(now, spent));
+      answered = true;
+      release();
+      ends.forEach(far -> far.answered(now, spent));
     }
 
     void release() {
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -220,6 +220,22 @@
     }
   }
 
+  /** Where many pairs have no group, a tandem that carried a call there is worth remembering. */
+  @Test
+  void aTandemThatCarriedIsTriedFirstUntilItTurnsBack() {
+    bed.circuits(2, 0, 0);
+    bed.circuits(1, 9, 20);
+    bed.circuits(3, 0, 20);
+    bed.call("a", Bed.CHEAP, 2);
+    bed.stands("a", 0, 40);
+    bed.circuits(1, 5, 20);
+    bed.circuits(3, 9, 20);
+    bed.call("b", Bed.CHEAP, 2);
+    assertEquals(List.of("x1"), bed.asked.sentTo("b"));
+    bed.ended("b", 0, 1, Outcome.BUSY, Reason.TURNED_BACK, 40);
+    assertEquals(List.of("x1", "x3"), bed.asked.sentTo("b"));
+  }
+
   @Test
   void aSilentExchangeIsTriedByOneCallAtATime() {
     for (int i = 0; i < 12; i++) {
