--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -109,9 +109,6 @@
    */
   private static final double GAP_MOST = 8000;
 
-  /** Share of the own callers' rate under which a far end that can take no more is pressed. */
-  private static final double PRESSED_SHARE = 0.25;
-
   /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
   private static final double CROWDED_MS = 1000;
 
@@ -222,7 +219,7 @@
     held.aimBy = Math.min(held.finalBy, now + aimLeft(held));
     wake(held, held.finalBy - now);
     count(now, call);
-    if (isCrowded(now, call.number()) || far(call.destination()).holdsBack(now, held)) {
+    if (isCrowded(now, call.number())) {
       refuse(held);
     } else {
       route(now, held);
@@ -706,9 +703,6 @@
       Far far = far(entry.number());
       far.free = load.free();
       far.size = load.size();
-      double take = load.canTake() / (PRESSED_SHARE * ownRate);
-      far.hold = Math.max(0, Double.isNaN(take) ? load.holdBack() : 1 - take);
-      far.heldAt = seen;
     }
   }
 
@@ -735,19 +729,11 @@
     double cutAt;
     double closedUntil;
     double gap;
-    double hold;
-    double heldAt;
 
     Far(int number) {
       this.number = number;
     }
 
-    /** Whether a call is given up for a processor that asks its callers to hold back; dearest never. */
-    boolean holdsBack(double now, Held held) {
-      boolean cheap = held.late || held.kind.worth() < dearest;
-      return cheap && random.nextDouble() < hold * (1 - (now - heldAt) / WINDOW);
-    }
-
     boolean hasGroup() {
       return number != settings.self() && !(size <= 0);
     }
