--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -399,8 +399,7 @@
 
   private boolean isFit(double now, Held held, Far far, Far destination) {
     boolean pools = settings.layout() == Layout.POOLS;
-    List<Integer> allowed = held.kind.pools();
-    return (!pools || allowed.isEmpty() || allowed.contains(far.number))
+    return (!pools || held.kind.pools().isEmpty() || held.kind.pools().contains(far.number))
         && far != destination
         && far.hasGroup()
         && far.spares(held)
@@ -440,9 +439,7 @@
     }
     double span = Math.min(WINDOW, Math.max(PERIOD, now - started));
     ownRate = ownArrivals.size() / span;
-    for (Far far : fars.values()) {
-      far.recompute(now, span);
-    }
+    fars.values().forEach(far -> far.recompute(now, span));
     for (int k = 0; k < mix.length; k++) {
       mix[k] *= MIX_KEEP;
     }
@@ -684,11 +681,9 @@
    * callers of a number whose lines come free within the pause.
    */
   private boolean isCrowded(double now, String number) {
-    double until = crowded.getOrDefault(number, Double.POSITIVE_INFINITY);
-    if (now >= until) {
-      crowded.put(number, now + CROWDED_MS);
-    }
-    return now < until && crowded.containsKey(number);
+    Double until = crowded.get(number);
+    crowded.computeIfPresent(number, (n, end) -> now < end ? end : now + CROWDED_MS);
+    return until != null && now < until;
   }
 
   // ---- Far ends -----------------------------------------------------------------------------
@@ -816,14 +811,11 @@
      * Could harm a far end that recovered unseen: then the next trial call opens it again.
      */
     boolean takes(double now, Held held) {
-      if (now < closedUntil) {
-        return false;
-      }
       double rest = held.aimBy - now;
-      if (out.isEmpty()) {
-        return rest >= Math.min(delay, TRIAL_SHARE * held.kind.aim());
-      }
-      return rest >= Math.max(delay, LEAST_AIM) && out.size() < (int) allowed;
+      double trial = Math.min(delay, TRIAL_SHARE * held.kind.aim());
+      return now >= closedUntil
+          && rest >= (out.isEmpty() ? trial : Math.max(delay, LEAST_AIM))
+          && out.size() < (int) allowed;
     }
 
     void answered(double now, double spent) {
@@ -856,14 +848,22 @@
       cutAt = now;
       allowed = Math.max(1, left);
       if (left < 1) {
-        gap = Math.min(GAP_MOST, Math.max(slow, 2 * gap));
-        closedUntil = Math.max(closedUntil, now + gap * random.nextDouble());
+        close(now, slow, 0);
       }
     }
 
+    private void close(double now, double first, double wait) {
+      gap = now < closedUntil ? gap : Math.min(GAP_MOST, Math.max(first, 2 * gap));
+      closedUntil = Math.max(closedUntil, now + Math.max(wait, gap * random.nextDouble()));
+    }
+
+    /**
+     * A full processor: half an aim first, then intervals between own calls, as senders are many.
+     */
+    /** Half an aim first, then intervals between own calls, as the senders may be many. */
     void pressed(double now, double wait) {
       allowed = 1;
-      closedUntil = now + (wait > 0 ? wait : slow);
+      close(now, gap > 0 ? Math.max(slow, 2 * WINDOW / (1 + arrivals.size())) : slow, wait);
     }
 
     /** This controller's share of what a cold processor bears in every window. */
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -257,6 +257,26 @@
     assertEquals(sent + 1, bed.asked.of("send").size());
   }
 
+  /**
+   * A pause that a rare caller never meets holds nobody back: it grows with the time between calls.
+   */
+  @Test
+  void aFullProcessorIsLeftAloneForLongerWhenItStaysFull() {
+    int answered = 0;
+    for (int step = 0; step < 1000; step++) {
+      if (step % 25 == 0) {
+        bed.call("p" + step, Bed.CHEAP, 2);
+      }
+      bed.pass(50);
+      for (; answered < bed.asked.of("send").size(); answered++) {
+        String id = bed.asked.of("send").get(answered).call();
+        int attempt = bed.asked.sentTo(id).size() - 1;
+        bed.ended(id, attempt, 2, Outcome.BUSY, Reason.PROCESSOR_FULL, 40);
+      }
+    }
+    assertTrue(answered >= 4 && answered <= 20, "answered " + answered);
+  }
+
   /** Many controllers with a trial each push over what none of them would push over alone. */
   @Test
   void trialsOfManyControllersAreSpread() {
