The longest gap between trials follows the time between own calls

Cause: a gap doubling to 8 s suits pairs with a call in nine seconds; in a fleet of four it shuts a far end for 25 calls.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -104,9 +104,7 @@
   /** Share of its aim that a call must have left to be the trial call of a far end in doubt. */
   private static final double TRIAL_SHARE = 0.7;
 
-  /**
-   * Longest gap between trials of a far end in trouble, ms; about what calls of several aims take.
-   */
+  /** Longest gap between trials of a far end, ms; four intervals between own calls where less. */
   private static final double GAP_MOST = 8000;
 
   /** A number with all lines busy is left alone for so long, then tried by one call, ms. */
@@ -853,7 +851,8 @@
     }
 
     private void close(double now, double first, double wait) {
-      gap = now < closedUntil ? gap : Math.min(GAP_MOST, Math.max(first, 2 * gap));
+      double most = Math.min(GAP_MOST, Math.max(2 * slow, 4 * WINDOW / (1 + arrivals.size())));
+      gap = now < closedUntil ? gap : Math.min(most, Math.max(first, 2 * gap));
       closedUntil = Math.max(closedUntil, now + Math.max(wait, gap * random.nextDouble()));
     }
 
