--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -125,6 +125,9 @@
   private final SplittableRandom random;
   private final double slow;
   private final double[] mix;
+  private final double[] turnsSent;
+  private final double[] turnsStood;
+  private double pace;
   private final double dearest;
   private final double cheapest;
   private final Map<String, Exchange> list = new LinkedHashMap<>();
@@ -157,6 +160,8 @@
     this.random = new SplittableRandom(seed);
     this.mix = new double[settings.classes().size()];
     this.patience = new double[mix.length];
+    this.turnsSent = new double[mix.length];
+    this.turnsStood = new double[mix.length];
     this.dearest = settings.classes().stream().mapToDouble(CallClass::worth).max().orElse(0);
     this.cheapest = settings.classes().stream().mapToDouble(CallClass::worth).min().orElse(0);
     double aim = settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
@@ -231,6 +236,7 @@
     if (held != null && held.out != null && held.out.number == stands.attempt()) {
       held.standing = true;
       held.out.destination.carriers.add(held.out.first);
+      turnsStood[held.call.type()] += held.out.ends.size() - 1;
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
@@ -370,7 +376,7 @@
   private void routeAlternative(double now, Held held) {
     Far destination = far(held.call.destination());
     Far best = null;
-    if (held.tandems < TANDEM_TRIES) {
+    if (held.tandems < TANDEM_TRIES && pays(held)) {
       for (Far far : destination.carriers) {
         best = isFit(now, held, far, destination) ? roomier(best, far) : best;
       }
@@ -388,9 +394,32 @@
       return;
     }
     held.tandems++;
+    turnsSent[held.call.type()]++;
     send(now, held, best, destination);
   }
 
+  /**
+   * Whether one more alternative attempt is worth its work: the share of those of its class that
+   * lately stood, times its worth beside that of a mean call, against the share of a good answer's
+   * time that answers take now. Idle processors make a try nearly free; pressed ones do a direct
+   * call with the same work. Guards against set-ups that come back from tandems, whatever fills the
+   * groups behind them: small groups, wide calls, overload, lost circuits. Could harm where the
+   * tandems have just come free: what was counted fades within the window.
+   */
+  private boolean pays(Held held) {
+    int type = held.call.type();
+    double share = (turnsStood[type] + RESCUE_WEIGHT) / (turnsSent[type] + RESCUE_WEIGHT);
+    return share * held.kind.worth() * Arrays.stream(mix).sum() / offeredWorth() >= pace / slow;
+  }
+
+  private double offeredWorth() {
+    double sum = 0;
+    for (int k = 0; k < mix.length; k++) {
+      sum += mix[k] * settings.classes().get(k).worth();
+    }
+    return sum;
+  }
+
   private static Far roomier(Far one, Far other) {
     return one == null || other.free > one.free ? other : one;
   }
@@ -440,6 +469,8 @@
     fars.values().forEach(far -> far.recompute(now, span));
     for (int k = 0; k < mix.length; k++) {
       mix[k] *= MIX_KEEP;
+      turnsSent[k] *= BLOCKED_KEEP;
+      turnsStood[k] *= BLOCKED_KEEP;
     }
     crowded.values().removeIf(until -> now > until + WINDOW);
   }
@@ -577,6 +608,7 @@
       return;
     }
     unanswered--;
+    pace += DELAY_WEIGHT * (spent - pace);
     learnOwn(now, spent, attempt.first, spent <= slow);
     attempt.answered(now, spent);
   }
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -32,6 +32,30 @@
     assertFalse(bed.asked.sentTo("a").contains("x2"));
   }
 
+  /** Sends of the last of ten calls that found the group full while tandems turned all back. */
+  private int triesAfterTurnedBack(double answerTime) {
+    bed.circuits(2, 0, 20);
+    for (int i = 0; i < 10; i++) {
+      bed.call("c" + i, Bed.CHEAP, 2);
+      for (int n = 0; n < bed.asked.sentTo("c" + i).size(); n++) {
+        int tandem = Integer.parseInt(bed.asked.sentTo("c" + i).get(n).substring(1));
+        bed.ended("c" + i, n, tandem, Outcome.BUSY, Reason.TURNED_BACK, answerTime);
+      }
+      bed.pass(1600);
+    }
+    return bed.asked.sentTo("c9").size();
+  }
+
+  @Test
+  void tandemsThatTurnCallsBackAreLeftAloneWhileAnswersAreSlow() {
+    assertEquals(0, triesAfterTurnedBack(200));
+  }
+
+  @Test
+  void tandemsThatTurnCallsBackAreStillTriedWhileAnswersAreQuick() {
+    assertEquals(2, triesAfterTurnedBack(20));
+  }
+
   @Test
   void aPairWithoutGroupUsesATandem() {
     bed.circuits(2, 0, 0);
