Given up on means answered at once; refusals say when to come back; crankbacks are charged to the tandem alone

isLost: a call whose pauses (release guard, own processor, far end) outlast its aim, whose attempts or tandems are used up with no direct group, or whose far end is off the list is answered then, not held. It guards against holding for nothing, whatever closed the ways; it could harm where the list names a new exchange within the aim.

comeBack: what is left of the pauses, and the delay expected of the far end, where callers follow it.

judge: a call turned back by its tandem, or held up there, was charged to the destination too, which never saw it.

Four tests fail on the text before.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -240,7 +240,7 @@
       if (held.overflowed) {
         far(held.call.destination()).carried++;
       }
-      answered(now, held.out, Math.max(0, stands.spent() - stall));
+      answered(now, held.out, Math.max(0, stands.spent() - stall), held.out.ends);
       serveLine(now);
     }
   }
@@ -558,11 +558,10 @@
    * than its aim allows. Answers every shortage that passes within a second or so. Dearest first.
    */
   private void await(double now, Held held) {
-    double rest = held.aimBy - LEAST_AIM - now;
-    if (held.call.transit() || rest <= 0 || held.attempts >= settings.maxAttempts()) {
+    if (held.call.transit() || isLost(now, held)) {
       refuse(held);
     } else if (line.add(held)) {
-      wake(held, rest);
+      wake(held, held.aimBy - LEAST_AIM - now);
       if (held.guardUntil > now) {
         wake(held, held.guardUntil - now);
       }
@@ -571,13 +570,39 @@
 
   private void serveLine(double now) {
     for (Held held : new ArrayList<>(line)) {
-      if (!ownTakes(now)) {
-        return;
+      if (isLost(now, held)) {
+        refuse(held);
+      } else if (ownTakes(now)) {
+        route(now, held);
       }
-      route(now, held);
     }
   }
 
+  /**
+   * Whether no way is left to send the call within its aim, as far as the module can know: it then
+   * gets its answer at once, so that its caller may turn elsewhere or dial again. Guards against
+   * calls held for nothing, whatever closed their ways. Could harm where a way opens sooner than
+   * told: the list names a new exchange, or a pause drawn too long.
+   */
+  private boolean isLost(double now, Held held) {
+    Far far = far(held.call.destination());
+    boolean pools = settings.layout() == Layout.POOLS;
+    boolean direct = far.hasGroup() && !(far.size < held.call.width());
+    double rest = held.aimBy - Math.max(now, opens(held));
+    double needed = pools || !far.out.isEmpty() ? 0 : far.trial(held);
+    return rest <= Math.max(LEAST_AIM, needed)
+        || held.attempts >= settings.maxAttempts()
+        || !pools && far.current == null
+        || !direct && held.tandems >= TANDEM_TRIES;
+  }
+
+  /** When the pauses that stand in the call's way are over. */
+  private double opens(Held held) {
+    double own = Math.max(held.guardUntil, ownClosedUntil);
+    boolean pools = settings.layout() == Layout.POOLS;
+    return pools ? own : Math.max(own, far(held.call.destination()).closedUntil);
+  }
+
   // ---- Answers of attempts ------------------------------------------------------------------
 
   private void attemptEnded(double now, Held held, Ended ended) {
@@ -602,15 +627,18 @@
     next(now, held, ended);
   }
 
-  /** An answer in time or not: frees its place and tells of the far ends and the own processor. */
-  private void answered(double now, Attempt attempt, double spent) {
+  /**
+   * An answer in time or not: frees its place and tells of the own processor and of the far ends
+   * that gave it. What a tandem turned back its destination never saw.
+   */
+  private void answered(double now, Attempt attempt, double spent, List<Far> ends) {
     if (attempt.answered) {
       return;
     }
     unanswered--;
     pace += DELAY_WEIGHT * (spent - pace);
     learnOwn(now, spent, attempt.first, spent <= slow);
-    attempt.answered(now, spent);
+    attempt.answered(now, spent, ends);
   }
 
   /**
@@ -657,12 +685,12 @@
         } else if (ended.reason() == Reason.FULL_BEYOND) {
           attempt.destination.pressed(now, ended.askedWait());
         } else {
-          answered(now, attempt, spent);
+          answered(now, attempt, spent, List.of(attempt.first));
         }
         attempt.first.turnedBack.put(attempt.destination.number, now + TURNED_BACK_MS);
         attempt.destination.carriers.remove(attempt.first);
       }
-      case ERROR -> answered(now, attempt, spent);
+      case ERROR -> answered(now, attempt, spent, attempt.ends);
       case SKIPPED -> {
         // The own processor is down: what is sent now only uses up attempts.
         if (ended.reason() == Reason.PROCESSOR_FULL) {
@@ -688,7 +716,19 @@
 
   private void refuse(Held held) {
     finish(held);
-    actions.refuse(held.call.id(), 0);
+    actions.refuse(held.call.id(), held.call.transit() ? 0 : comeBack(held));
+  }
+
+  /**
+   * How long a refused caller should stay away, where callers follow it: until the pauses in its
+   * way are over and what is out toward its far end has been answered. Guards far ends in trouble
+   * against redials that can only be refused. Could harm a caller whose way opens sooner.
+   */
+  private double comeBack(Held held) {
+    double crowd = crowded.getOrDefault(held.call.number(), 0.0);
+    double wait =
+        Math.max(0, Math.max(opens(held), crowd) - seen) + far(held.call.destination()).delay;
+    return Math.min(settings.maxComeBack(), wait);
   }
 
   private void fail(Held held) {
@@ -844,12 +884,16 @@
      */
     boolean takes(double now, Held held) {
       double rest = held.aimBy - now;
-      double trial = Math.min(delay, TRIAL_SHARE * held.kind.aim());
       return now >= closedUntil
-          && rest >= (out.isEmpty() ? trial : Math.max(delay, LEAST_AIM))
+          && rest >= (out.isEmpty() ? trial(held) : Math.max(delay, LEAST_AIM))
           && out.size() < (int) allowed;
     }
 
+    /** What a call must have left to be the trial of a far end with nothing out. */
+    double trial(Held held) {
+      return Math.min(delay, TRIAL_SHARE * held.kind.aim());
+    }
+
     void answered(double now, double spent) {
       delay += DELAY_WEIGHT * (spent - delay);
       if (spent <= slow) {
@@ -889,9 +933,6 @@
       closedUntil = Math.max(closedUntil, now + Math.max(wait, gap * random.nextDouble()));
     }
 
-    /**
-     * A full processor: half an aim first, then intervals between own calls, as senders are many.
-     */
     /** Half an aim first, then intervals between own calls, as the senders may be many. */
     void pressed(double now, double wait) {
       allowed = 1;
@@ -972,10 +1013,10 @@
       ends.forEach(far -> far.out.add(this));
     }
 
-    void answered(double now, double spent) {
+    void answered(double now, double spent, List<Far> by) {
       answered = true;
       release();
-      ends.forEach(far -> far.answered(now, spent));
+      by.forEach(far -> far.answered(now, spent));
     }
 
     void release() {
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -56,6 +56,96 @@
     assertEquals(2, triesAfterTurnedBack(20));
   }
 
+  @Test
+  void whatATandemTurnsBackIsNotChargedToTheDestination() {
+    bed.circuits(2, 0, 20);
+    bed.call("c", Bed.DEAR, 2);
+    for (int n = 0; n < 2; n++) {
+      int tandem = Integer.parseInt(bed.asked.sentTo("c").get(n).substring(1));
+      bed.pass(600);
+      bed.ended("c", n, tandem, Outcome.BUSY, Reason.TURNED_BACK, 600);
+    }
+    bed.circuits(2, 20, 20);
+    for (int i = 0; i < 4; i++) {
+      bed.call("d" + i, Bed.CHEAP, 2);
+      assertEquals(List.of("x2"), bed.asked.sentTo("d" + i));
+    }
+  }
+
+  /** Settings of the bed with a word to callers of at most so many ms. */
+  private static Settings withComeBack(double most) {
+    Settings s = Bed.settings(Layout.MESH, 0);
+    return new Settings(
+        s.layout(),
+        s.self(),
+        s.instances(),
+        s.classes(),
+        s.resolution(),
+        s.maxAttempts(),
+        s.mayCancel(),
+        s.mayProbe(),
+        s.mayTell(),
+        most,
+        s.listByAsking(),
+        s.guard(),
+        s.retransmit(),
+        s.coldFrom(),
+        s.ramp(),
+        s.fallMultiple(),
+        s.fall());
+  }
+
+  @Test
+  void aCallWithNoWayLeftIsAnsweredAtOnce() {
+    bed.call("a", Bed.CHEAP, 2);
+    bed.pass(1000);
+    bed.ended("a", 0, 2, Outcome.TIMED_OUT, Reason.NONE, 1000);
+    assertEquals(1, bed.asked.answers("a").size(), "the release guard outlasts the aim");
+    bed.list(false, new Exchange("x3", 3, State.GONE, 0));
+    bed.call("b", Bed.DEAR, 3);
+    assertEquals(1, bed.asked.answers("b").size(), "no exchange to send to");
+  }
+
+  @Test
+  void aCallOfAPairWithoutGroupIsAnsweredWhenItsTandemsAreUsedUp() {
+    bed.circuits(2, 0, 0);
+    bed.call("a", Bed.DEAR, 2);
+    for (int n = 0; n < 2; n++) {
+      int tandem = Integer.parseInt(bed.asked.sentTo("a").get(n).substring(1));
+      bed.ended("a", n, tandem, Outcome.BUSY, Reason.TURNED_BACK, 20);
+    }
+    assertEquals(List.of("refuse"), bed.asked.answers("a"));
+  }
+
+  @Test
+  void aCallThatCanStillBeSentWaits() {
+    for (int far = 1; far <= 3; far++) {
+      bed.circuits(far, 0, 20);
+    }
+    bed.call("a", Bed.CHEAP, 2);
+    bed.pass(1000);
+    assertTrue(bed.asked.answers("a").isEmpty());
+  }
+
+  /** Refuses by a full processor that asks for 2 s, which is beyond every aim. */
+  private static Recorder.Asked refusedByPause(Bed bed) {
+    bed.list(true, Bed.entry(0, 0), Bed.entry(2, 0));
+    bed.circuits(2, 20, 20);
+    bed.call("a", Bed.CHEAP, 2);
+    bed.policy.onEnded(
+        bed.now,
+        new CallPolicy.Ended(
+            "a", 0, "x2", Outcome.BUSY, Reason.PROCESSOR_FULL, 2000, 20, false, Bed.load(20, 20)));
+    return bed.asked.of("refuse").get(0);
+  }
+
+  @Test
+  void aRefusalSaysWhenThePauseInItsWayIsOver() {
+    assertEquals(0, refusedByPause(new Bed(withComeBack(0))).figure());
+    assertEquals(2000, refusedByPause(new Bed(withComeBack(5000))).figure(), 100);
+    assertEquals(1500, refusedByPause(new Bed(withComeBack(1500))).figure());
+  }
+
   @Test
   void aPairWithoutGroupUsesATandem() {
     bed.circuits(2, 0, 0);
