--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
 
 /**
  * All decisions of a call controller. Its types, events and actions are in CallPolicy.java.
@@ -59,9 +60,7 @@
   /** Tandems that one call tries; each turned back costs work at two exchanges. */
   private static final int TANDEM_TRIES = 2;
 
-  /**
-   * Exchanges drawn at most in search of a tandem, so that the cost does not grow with the fleet.
-   */
+  /** Exchanges drawn at most in search of a tandem: the cost must not grow with the fleet. */
   private static final int TANDEM_DRAWS = 16;
 
   /** Fit tandems among which the one with most room is taken. */
@@ -82,9 +81,6 @@
   /** Set-ups out of this controller at most; seldom reached unless answers fail to come. */
   private static final double OWN_MOST = 16;
 
-  /** Set-ups out of this controller at least, so that it never stops sending altogether. */
-  private static final double OWN_LEAST = 1;
-
   /** Far ends that answer badly in turn before the own processor is held for the cause. */
   private static final int OWN_RUN = 6;
 
@@ -124,6 +120,7 @@
   private final Actions actions;
   private final SplittableRandom random;
   private final double slow;
+  private final boolean pools;
   private final double[] mix;
   private final double[] turnsSent;
   private final double[] turnsStood;
@@ -158,14 +155,15 @@
     this.settings = settings;
     this.actions = actions;
     this.random = new SplittableRandom(seed);
+    this.pools = settings.layout() == Layout.POOLS;
     this.mix = new double[settings.classes().size()];
     this.patience = new double[mix.length];
     this.turnsSent = new double[mix.length];
     this.turnsStood = new double[mix.length];
     this.dearest = settings.classes().stream().mapToDouble(CallClass::worth).max().orElse(0);
     this.cheapest = settings.classes().stream().mapToDouble(CallClass::worth).min().orElse(0);
-    double aim = settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
-    double half = SLOW_SHARE * aim;
+    double half =
+        SLOW_SHARE * settings.classes().stream().mapToDouble(CallClass::aim).min().orElse(0);
     this.slow = settings.retransmit() > 0 ? Math.min(settings.retransmit(), half) : half;
   }
 
@@ -409,15 +407,17 @@
   private boolean pays(Held held) {
     int type = held.call.type();
     double share = (turnsStood[type] + RESCUE_WEIGHT) / (turnsSent[type] + RESCUE_WEIGHT);
-    return share * held.kind.worth() * Arrays.stream(mix).sum() / offeredWorth() >= pace / slow;
+    double offered = mean(CallClass::worth);
+    return share * held.kind.worth() >= offered * pace / slow;
   }
 
-  private double offeredWorth() {
+  /** Mean of a figure of the classes, by what was offered to the exchange lately. */
+  private double mean(ToDoubleFunction<CallClass> figure) {
     double sum = 0;
     for (int k = 0; k < mix.length; k++) {
-      sum += mix[k] * settings.classes().get(k).worth();
+      sum += mix[k] * figure.applyAsDouble(settings.classes().get(k));
     }
-    return sum;
+    return sum / Arrays.stream(mix).sum();
   }
 
   private static Far roomier(Far one, Far other) {
@@ -425,7 +425,6 @@
   }
 
   private boolean isFit(double now, Held held, Far far, Far destination) {
-    boolean pools = settings.layout() == Layout.POOLS;
     return (!pools || held.kind.pools().isEmpty() || held.kind.pools().contains(far.number))
         && far != destination
         && far.hasGroup()
@@ -461,9 +460,7 @@
   }
 
   private void recompute(double now) {
-    while (!ownArrivals.isEmpty() && ownArrivals.peek() < now - WINDOW) {
-      ownArrivals.remove();
-    }
+    ownArrivals.removeIf(at -> at < now - WINDOW);
     double span = Math.min(WINDOW, Math.max(PERIOD, now - started));
     ownRate = ownArrivals.size() / span;
     fars.values().forEach(far -> far.recompute(now, span));
@@ -586,11 +583,9 @@
    */
   private boolean isLost(double now, Held held) {
     Far far = far(held.call.destination());
-    boolean pools = settings.layout() == Layout.POOLS;
     boolean direct = far.hasGroup() && !(far.size < held.call.width());
-    double rest = held.aimBy - Math.max(now, opens(held));
     double needed = pools || !far.out.isEmpty() ? 0 : far.trial(held);
-    return rest <= Math.max(LEAST_AIM, needed)
+    return held.aimBy - Math.max(now, opens(held)) <= Math.max(LEAST_AIM, needed)
         || held.attempts >= settings.maxAttempts()
         || !pools && far.current == null
         || !direct && held.tandems >= TANDEM_TRIES;
@@ -598,9 +593,8 @@
 
   /** When the pauses that stand in the call's way are over. */
   private double opens(Held held) {
-    double own = Math.max(held.guardUntil, ownClosedUntil);
-    boolean pools = settings.layout() == Layout.POOLS;
-    return pools ? own : Math.max(own, far(held.call.destination()).closedUntil);
+    double far = pools ? 0 : far(held.call.destination()).closedUntil;
+    return Math.max(far, Math.max(held.guardUntil, ownClosedUntil));
   }
 
   // ---- Answers of attempts ------------------------------------------------------------------
@@ -659,8 +653,8 @@
     if (own && now - spent >= ownCutAt) {
       ownCutAt = now;
       ownAllowed = Math.min(ownAllowed, unanswered + 1) * SLOW_CUT;
-      if (ownAllowed < OWN_LEAST) {
-        ownAllowed = OWN_LEAST;
+      if (ownAllowed < 1) {
+        ownAllowed = 1;
         ownGap = Math.min(OWN_GAP_MOST, Math.max(slow, 2 * ownGap));
         ownClosedUntil = Math.max(ownClosedUntil, now + ownGap * random.nextDouble());
       }
@@ -830,15 +824,8 @@
       }
     }
 
-    /** Share of the calls that found the group full and yet stood lately. */
-    private double rescued() {
-      return Math.min(1, (carried + RESCUE_WEIGHT) / (overflowed + RESCUE_WEIGHT));
-    }
-
     void recompute(double now, double span) {
-      while (!arrivals.isEmpty() && arrivals.peek()[0] < now - WINDOW) {
-        arrivals.remove();
-      }
+      arrivals.removeIf(arrival -> arrival[0] < now - WINDOW);
       direct *= BLOCKED_KEEP;
       blocked *= BLOCKED_KEEP;
       overflowed *= BLOCKED_KEEP;
@@ -855,28 +842,29 @@
       double[] costs = new double[2 * mix.length];
       double hold = 0;
       double width = 0;
-      double own = arrivals.size() / span;
       for (int k = 0; k < mix.length; k++) {
         final int type = k;
         double counted = arrivals.stream().filter(a -> a[1] == type).count();
-        double share = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
+        rates[k] = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
         CallClass kind = settings.classes().get(k);
-        rates[k] = share;
-        costs[k] = cheapest + (kind.worth() - cheapest) * (1 - rescued());
-        hold += share * kind.hold();
-        width += share * kind.width();
+        costs[k] = cost(kind.worth());
+        costs[mix.length + k] = cost(kind.worth() * kind.lateWorth());
+        hold += rates[k] * kind.hold();
+        width += rates[k] * kind.width();
       }
-      double seen = Math.max(0, size - free - ownBusy) / width / hold;
-      others += (seen - others) / 2;
+      others += (Math.max(0, size - free - ownBusy) / width / hold - others) / 2;
       for (int k = 0; k < mix.length; k++) {
-        rates[k] *= own + others;
-        CallClass kind = settings.classes().get(k);
-        double late = kind.worth() * kind.lateWorth();
-        costs[mix.length + k] = cheapest + (late - cheapest) * (1 - rescued());
+        rates[k] *= arrivals.size() / span + others;
       }
       return NestedThresholdPolicy.thresholds((int) size, rates, hold, costs);
     }
 
+    /** Cost of blocking: what is above the cheapest counts as far as overflow is lost. */
+    private double cost(double worth) {
+      double rescued = Math.min(1, (carried + RESCUE_WEIGHT) / (overflowed + RESCUE_WEIGHT));
+      return cheapest + (worth - cheapest) * (1 - rescued);
+    }
+
     /**
      * Whether one more set-up may go out: few enough out, and an answer in time to expect. Guards
      * against attempts that only burn work, whether the far end is silent, slow, pressed or cold.
@@ -946,9 +934,7 @@
       double capacity = WORK_PER_CALL * ownRate * settings.coldFrom() * settings.fall();
       double share = settings.fallMultiple() * capacity / settings.instances();
       double window = settings.fall() / Math.max(0.1, Math.min(1, share));
-      while (!sends.isEmpty() && sends.peek() < now - window) {
-        sends.remove();
-      }
+      sends.removeIf(at -> at < now - window);
       boolean cold = current.started() > 0 && now < current.started() + settings.ramp();
       boolean phase = share >= 1 || now >= since + phaseOf * window;
       return !cold || phase && sends.size() + 1 <= Math.max(1, share);
