A wide redial counts by the circuit; a far end without connection is left alone at once

costs: a redial of a wide class was weighed by its late worth as if it took one circuit, and shut first tries out of groups of three.

Also covers an exchange cut off or at its connection limit; could harm one whose connection failed by chance, for half an aim.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -666,7 +666,9 @@
   private void judge(double now, Attempt attempt, Ended ended) {
     double spent = Math.max(0, ended.spent() - stall);
     switch (ended.outcome()) {
-      case TIMED_OUT, REFUSED -> {
+      // No connection, however quickly told: calls must not run through their attempts on it.
+      case REFUSED -> attempt.first.pressed(now, 0);
+      case TIMED_OUT -> {
         if (!learnOwn(now, spent, attempt.first, spent < slow)) {
           attempt.ends.forEach(far -> far.silent(now, spent));
         }
@@ -848,7 +850,9 @@
         rates[k] = (counted + MIX_WEIGHT * mix[k] / mixed) / (arrivals.size() + MIX_WEIGHT);
         CallClass kind = settings.classes().get(k);
         costs[k] = cost(kind.worth());
-        costs[mix.length + k] = cost(kind.worth() * kind.lateWorth());
+        // A redial earns little, so it counts by the circuit: a wide one would shut out first
+        // tries.
+        costs[mix.length + k] = cost(kind.worth() * kind.lateWorth() / kind.width());
         hold += rates[k] * kind.hold();
         width += rates[k] * kind.width();
       }
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -146,6 +146,69 @@
     assertEquals(1500, refusedByPause(new Bed(withComeBack(1500))).figure());
   }
 
+  @Test
+  void aFarEndWithoutConnectionDoesNotUseUpTheAttemptsOfACall() {
+    bed.call("a", Bed.CHEAP, 2);
+    for (int n = 0; n < bed.asked.sentTo("a").size(); n++) {
+      bed.ended("a", n, 2, Outcome.REFUSED, Reason.NONE, 10);
+    }
+    assertEquals(1, bed.asked.sentTo("a").size());
+  }
+
+  /** Highest occupancy up to which redials of the class enter; the group has 20 circuits. */
+  private static int entersUpTo(Bed crowd, int type, int width) {
+    int free = 0;
+    String id = "";
+    do {
+      id = "r" + type + "." + ++free;
+      crowd.circuits(2, free, 20);
+      crowd.policy.onCall(crowd.now, new Call(id, type, 3000, width, id, 2, false, true, false));
+    } while (free < 20 && crowd.asked.sentTo(id).isEmpty());
+    crowd.stands(id, 0, 40);
+    crowd.ended(id, 0, 2, Outcome.DONE, Reason.NONE);
+    return 20 - free + width;
+  }
+
+  @Test
+  void aWideRedialCountsByTheCircuit() {
+    Settings s = Bed.settings(Layout.MESH, 0);
+    List<CallPolicy.CallClass> classes =
+        List.of(
+            new CallPolicy.CallClass(1, 0.25, 1200, 9000, 1, 10000, List.of()),
+            new CallPolicy.CallClass(2, 0.25, 1200, 9000, 3, 10000, List.of()));
+    Bed crowd =
+        new Bed(
+            new Settings(
+                s.layout(),
+                0,
+                4,
+                classes,
+                s.resolution(),
+                4,
+                true,
+                false,
+                false,
+                0,
+                false,
+                300,
+                800,
+                0.3,
+                10000,
+                3,
+                3000));
+    crowd.list(true, Bed.entry(0, 0), Bed.entry(2, 0));
+    crowd.circuits(2, 0, 20);
+    for (int i = 0; i < 60; i++) {
+      crowd.call("c" + i, i % 10 == 0 ? 1 : 0, 2);
+      crowd.pass(200);
+    }
+    crowd.circuits(2, 8, 20);
+    crowd.pass(6000);
+    int narrow = entersUpTo(crowd, 0, 1);
+    int wide = entersUpTo(crowd, 1, 3);
+    assertTrue(wide <= narrow, wide + " " + narrow);
+  }
+
   @Test
   void aPairWithoutGroupUsesATandem() {
     bed.circuits(2, 0, 0);
