Reports that free no circuit look for no routes; a redial before any first try may use a tandem

serveLine walked the line at every report. Now only where more circuits are free than before; a test counts the routes looked for.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -11,7 +11,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.ToDoubleFunction;
 
 /**
  * All decisions of a call controller. Its types, events and actions are in CallPolicy.java.
@@ -124,6 +123,7 @@
   private final double[] mix;
   private final double[] turnsSent;
   private final double[] turnsStood;
+  private double mixWorth;
   private double pace;
   private final double dearest;
   private final double cheapest;
@@ -146,6 +146,10 @@
   private final double[] patience;
   private final TreeSet<Integer> badRun = new TreeSet<>();
   private double ownCutAt;
+
+  /** Routes looked for so far: the module's main work. */
+  long routed;
+
   private double ownClosedUntil;
 
   /**
@@ -265,8 +269,9 @@
   @Override
   public void onReport(double now, Report report) {
     notice(now);
-    learnCircuits(report.exchange(), report.load());
-    serveLine(now);
+    if (learnCircuits(report.exchange(), report.load())) {
+      serveLine(now);
+    }
   }
 
   @Override
@@ -337,6 +342,7 @@
 
   /** Decides on a call that has no attempt out: send, wait, refuse. */
   private void route(double now, Held held) {
+    routed++;
     if (held.call.transit()) {
       routeTransit(now, held);
     } else {
@@ -407,17 +413,7 @@
   private boolean pays(Held held) {
     int type = held.call.type();
     double share = (turnsStood[type] + RESCUE_WEIGHT) / (turnsSent[type] + RESCUE_WEIGHT);
-    double offered = mean(CallClass::worth);
-    return share * held.kind.worth() >= offered * pace / slow;
-  }
-
-  /** Mean of a figure of the classes, by what was offered to the exchange lately. */
-  private double mean(ToDoubleFunction<CallClass> figure) {
-    double sum = 0;
-    for (int k = 0; k < mix.length; k++) {
-      sum += mix[k] * figure.applyAsDouble(settings.classes().get(k));
-    }
-    return sum / Arrays.stream(mix).sum();
+    return share * held.kind.worth() * Arrays.stream(mix).sum() >= mixWorth * pace / slow;
   }
 
   private static Far roomier(Far one, Far other) {
@@ -456,6 +452,7 @@
     if (!call.redial() && !call.returned() && !crowded.containsKey(call.number())) {
       far(call.destination()).arrivals.add(new double[] {now, call.type()});
       mix[call.type()]++;
+      mixWorth += settings.classes().get(call.type()).worth();
     }
   }
 
@@ -464,6 +461,7 @@
     double span = Math.min(WINDOW, Math.max(PERIOD, now - started));
     ownRate = ownArrivals.size() / span;
     fars.values().forEach(far -> far.recompute(now, span));
+    mixWorth *= MIX_KEEP;
     for (int k = 0; k < mix.length; k++) {
       mix[k] *= MIX_KEEP;
       turnsSent[k] *= BLOCKED_KEEP;
@@ -758,13 +756,17 @@
     return fars.computeIfAbsent(number, Far::new);
   }
 
-  private void learnCircuits(String id, Load load) {
+  /** Takes over the circuits told; whether more are free, so that a waiting call may go. */
+  private boolean learnCircuits(String id, Load load) {
     Exchange entry = list.get(id);
-    if (entry != null && !Double.isNaN(load.free()) && !Double.isNaN(load.size())) {
-      Far far = far(entry.number());
-      far.free = load.free();
-      far.size = load.size();
+    if (entry == null || Double.isNaN(load.free()) || Double.isNaN(load.size())) {
+      return false;
     }
+    Far far = far(entry.number());
+    boolean more = !(load.free() <= far.free);
+    far.free = load.free();
+    far.size = load.size();
+    return more;
   }
 
   /** A far end: its group of circuits, its thresholds and the one estimate of its health. */
@@ -832,9 +834,7 @@
       blocked *= BLOCKED_KEEP;
       overflowed *= BLOCKED_KEEP;
       carried *= BLOCKED_KEEP;
-      if (size >= 1) {
-        thresholds = arrivals.isEmpty() ? null : computed(span);
-      }
+      thresholds = arrivals.isEmpty() || !(size >= 1) ? null : computed(span);
     }
 
     /** Own arrivals by class, and those of the other users of the group read off its circuits. */
--- a/src/test/java/coveladder/PolicyTest.java
+++ b/src/test/java/coveladder/PolicyTest.java
@@ -209,6 +209,32 @@
     assertTrue(wide <= narrow, wide + " " + narrow);
   }
 
+  @Test
+  void newsThatFreesNoCircuitLooksForNoRoutes() {
+    for (int far = 1; far <= 3; far++) {
+      bed.circuits(far, 1, 20);
+    }
+    bed.circuits(2, 0, 20);
+    for (int i = 0; i < 50; i++) {
+      bed.call("c" + i, Bed.CHEAP, 2);
+    }
+    long routed = bed.policy.routed;
+    for (int i = 0; i < 100; i++) {
+      bed.circuits(1, 0, 20);
+    }
+    assertEquals(routed, bed.policy.routed);
+    bed.circuits(2, 1, 20);
+    assertEquals(List.of("x2"), bed.asked.sentTo("c0"));
+    assertEquals(routed + 50, bed.policy.routed);
+  }
+
+  @Test
+  void aRedialBeforeAnyFirstTryMayUseATandem() {
+    bed.circuits(2, 0, 20);
+    bed.policy.onCall(bed.now, new Call("r", 0, 3000, 1, "n", 2, false, true, false));
+    assertEquals(1, bed.asked.sentTo("r").size());
+  }
+
   @Test
   void aPairWithoutGroupUsesATandem() {
     bed.circuits(2, 0, 0);
