A set-up must pay its work, direct ones too: in a jam cheap calls go one at a time

The thresholds guard circuits, and here processors are short.

Change: the price of an alternative attempt holds for every set-up, by what the call still earns (redials by their late worth); a call that does not pay goes only while nothing else is out. It should also cover slowed, cold or flooded processors and redial storms; could harm cheap calls to sound far ends while the others answer slowly.

--- a/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -380,7 +380,9 @@
   private void routeAlternative(double now, Held held) {
     Far destination = far(held.call.destination());
     Far best = null;
-    if (held.tandems < TANDEM_TRIES && pays(held)) {
+    int type = held.call.type();
+    double stood = (turnsStood[type] + RESCUE_WEIGHT) / (turnsSent[type] + RESCUE_WEIGHT);
+    if (held.tandems < TANDEM_TRIES && pays(held, stood)) {
       for (Far far : destination.carriers) {
         best = isFit(now, held, far, destination) ? roomier(best, far) : best;
       }
@@ -398,22 +400,18 @@
       return;
     }
     held.tandems++;
-    turnsSent[held.call.type()]++;
+    turnsSent[type]++;
     send(now, held, best, destination);
   }
 
   /**
-   * Whether one more alternative attempt is worth its work: the share of those of its class that
-   * lately stood, times its worth beside that of a mean call, against the share of a good answer's
-   * time that answers take now. Idle processors make a try nearly free; pressed ones do a direct
-   * call with the same work. Guards against set-ups that come back from tandems, whatever fills the
-   * groups behind them: small groups, wide calls, overload, lost circuits. Could harm where the
-   * tandems have just come free: what was counted fades within the window.
+   * Whether a set-up is worth its work: the chance that it comes to something, times what the call
+   * still earns beside a mean call, against the share of a good answer's time that answers take.
+   * Guards against crankbacks and jams, whatever fills groups or slows processors: idle ones make a
+   * set-up nearly free. Could harm when these have just come free, until the counts fade.
    */
-  private boolean pays(Held held) {
-    int type = held.call.type();
-    double share = (turnsStood[type] + RESCUE_WEIGHT) / (turnsSent[type] + RESCUE_WEIGHT);
-    return share * held.kind.worth() * Arrays.stream(mix).sum() >= mixWorth * pace / slow;
+  private boolean pays(Held held, double chance) {
+    return chance * held.value() * Arrays.stream(mix).sum() >= mixWorth * pace / slow;
   }
 
   private static Far roomier(Far one, Far other) {
@@ -520,7 +518,7 @@
     return held.out == null
         && !held.finished
         && now >= held.guardUntil
-        && ownTakes(now)
+        && ownTakes(now, held)
         && held.attempts < settings.maxAttempts()
         && first.number != settings.self()
         && first.current != null
@@ -530,8 +528,12 @@
         && first.withinColdBudget(now);
   }
 
-  private boolean ownTakes(double now) {
-    return now >= ownClosedUntil && unanswered < (int) ownAllowed;
+  /**
+   * A call that does not pay goes only while nothing else is out; those in transit are half done.
+   */
+  private boolean ownTakes(double now, Held held) {
+    int most = held.call.transit() || pays(held, 1) ? (int) ownAllowed : 1;
+    return now >= ownClosedUntil && unanswered < most;
   }
 
   private void send(double now, Held held, Far first, Far destination) {
@@ -567,7 +569,7 @@
     for (Held held : new ArrayList<>(line)) {
       if (isLost(now, held)) {
         refuse(held);
-      } else if (ownTakes(now)) {
+      } else if (ownTakes(now, held)) {
         route(now, held);
       }
     }
