--- /dev/null
+++ b/core/src/main/java/coveladder/core/AttemptGuard.java
@@ -0,0 +1,39 @@
+package coveladder.core;
+
+/**
+ * The last look at a set-up before it leaves: whether it would break a rule whatever asked for it.
+ * The module keeps the rules by itself; this guards against a fault in it or in the driver. A
+ * set-up held back here ends as skipped, and is counted.
+ */
+public final class AttemptGuard {
+  private final double guard;
+  private final double grace;
+  private long heldBack;
+
+  /**
+   * Makes the guard.
+   *
+   * @param guard wait after a time-out, reset or cancel before the call is sent again, ms
+   * @param grace time after word of a drain within which sends must cease, ms
+   */
+  public AttemptGuard(double guard, double grace) {
+    this.guard = guard;
+    this.grace = grace;
+  }
+
+  /** Whether the set-up may leave now. */
+  public boolean permits(HeldCall call, double closedSince, double now) {
+    boolean permitted =
+        !call.answered()
+            && call.current() == null
+            && now - call.lastUnsure() >= guard
+            && now - closedSince <= grace;
+    heldBack += permitted ? 0 : 1;
+    return permitted;
+  }
+
+  /** Set-ups held back so far; any is a fault. */
+  public long heldBack() {
+    return heldBack;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/coveladder/core/ExchangeList.java
@@ -0,0 +1,146 @@
+package coveladder.core;
+
+import coveladder.CallPolicy;
+import coveladder.CallPolicy.State;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The exchange list as this controller was told it. Changes come with the version that they follow;
+ * one that follows another version than the held one shows a gap, and the whole list is needed.
+ */
+public final class ExchangeList {
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Double> closedAt = new LinkedHashMap<>();
+  private long version = -1;
+
+  /**
+   * One exchange.
+   *
+   * @param id its id; a processor that takes another's place has an id of its own
+   * @param number its number, the same for all processors of one place
+   * @param domain host part of URIs of numbers there
+   * @param address where its signalling is reached, as a URI
+   * @param state what the list says of it
+   * @param started own clock of its last start, ms; 0: long ago
+   */
+  public record Entry(
+      String id, int number, String domain, String address, State state, double started) {
+
+    CallPolicy.Exchange forPolicy() {
+      return new CallPolicy.Exchange(id, number, state, started);
+    }
+  }
+
+  /**
+   * What came from the list.
+   *
+   * @param full whether the entries are the whole list
+   * @param after version that changes follow; without meaning for a whole list
+   * @param version version that they lead to
+   * @param entries the lines
+   */
+  public record News(boolean full, long after, long version, List<Entry> entries) {}
+
+  /** What became of news. */
+  public enum Taken {
+    /** The list has changed. */
+    CHANGED,
+    /** It was known already. */
+    OLD,
+    /** Something between is missing: the whole list must be asked for. */
+    GAP
+  }
+
+  /** Takes news in. */
+  public Taken take(News news, double now) {
+    if (!news.full() && news.version() <= version) {
+      return Taken.OLD;
+    }
+    if (!news.full() && news.after() != version) {
+      return Taken.GAP;
+    }
+    if (news.full()) {
+      entries.keySet().removeIf(id -> isMissing(id, news, now));
+    }
+    version = news.version();
+    for (Entry entry : news.entries()) {
+      put(entry, now);
+    }
+    return Taken.CHANGED;
+  }
+
+  private boolean isMissing(String id, News news, double now) {
+    boolean missing = news.entries().stream().noneMatch(entry -> entry.id().equals(id));
+    if (missing) {
+      closedAt.putIfAbsent(id, now);
+    }
+    return missing;
+  }
+
+  private void put(Entry entry, double now) {
+    if (entry.state() == State.IN_SERVICE) {
+      closedAt.remove(entry.id());
+    } else {
+      closedAt.putIfAbsent(entry.id(), now);
+    }
+    if (entry.state() == State.GONE) {
+      entries.remove(entry.id());
+    } else {
+      entries.put(entry.id(), entry);
+    }
+  }
+
+  /** The exchange of that id; null where the list has none. */
+  public Entry byId(String id) {
+    return entries.get(id);
+  }
+
+  /** The newest exchange in service of a number; null where there is none. */
+  public Entry byNumber(int number) {
+    return newest(entry -> entry.number() == number);
+  }
+
+  /** The newest exchange in service for a domain, in any case; null where there is none. */
+  public Entry byDomain(String domain) {
+    return newest(entry -> entry.domain().equalsIgnoreCase(domain));
+  }
+
+  private Entry newest(java.util.function.Predicate<Entry> fits) {
+    Entry found = null;
+    for (Entry entry : entries.values()) {
+      boolean open = entry.state() == State.IN_SERVICE && fits.test(entry);
+      if (open && (found == null || entry.started() > found.started())) {
+        found = entry;
+      }
+    }
+    return found;
+  }
+
+  /** Number of the exchange for a domain, in service or not; -1 where the list knows none. */
+  public int numberOf(String domain) {
+    for (Entry entry : entries.values()) {
+      if (entry.domain().equalsIgnoreCase(domain)) {
+        return entry.number();
+      }
+    }
+    return -1;
+  }
+
+  /** Since when this controller knows that an exchange takes nothing new; infinite if it does. */
+  public double closedSince(String id) {
+    return closedAt.getOrDefault(id, Double.POSITIVE_INFINITY);
+  }
+
+  /** All lines held. */
+  public List<Entry> entries() {
+    return new ArrayList<>(entries.values());
+  }
+
+  /** The version held; -1 before the first news. */
+  public long version() {
+    return version;
+  }
+}
