sip: messages, transactions, dialogs and user agent by RFC 3261, free of I/O

Parser and framer by bytes, writer, the four transaction machines with RFC 6026's Accepted state, 100 after 200 ms, merged requests, CANCEL that waits for a provisional answer, large requests by TCP and back, repeats of long-ended INVITEs dropped, dialogs, forks, late 2xx released, re-INVITE glare, subscriptions both ways, overload control in Via.

--- /dev/null
+++ b/sip/src/main/java/coveladder/sip/ClientTransaction.java
@@ -0,0 +1,120 @@
+package coveladder.sip;
+
+/** A client transaction of RFC 3261 section 17.1. */
+public abstract sealed class ClientTransaction
+    permits InviteClientTransaction, NonInviteClientTransaction {
+  final TransactionLayer layer;
+  final Timing timing;
+  private final SipRequest request;
+  private final Listener listener;
+  private Hop hop;
+  private byte[] wire;
+  private boolean enlarged;
+
+  ClientTransaction(TransactionLayer layer, SipRequest request, Hop hop, Listener listener) {
+    this.layer = layer;
+    this.timing = layer.timing();
+    this.request = request;
+    this.hop = hop;
+    this.listener = listener;
+  }
+
+  /** What the owner of a transaction hears of it. */
+  public interface Listener {
+    /** Takes no interest in what comes. */
+    Listener IGNORE =
+        new Listener() {
+          @Override
+          public void response(SipResponse response) {}
+
+          @Override
+          public void failed(Failure failure) {}
+        };
+
+    /** A response came; several provisional ones may, and one final, or more 2xx to an INVITE. */
+    void response(SipResponse response);
+
+    /** No final answer will come. */
+    void failed(Failure failure);
+  }
+
+  /** The request as it was sent. */
+  public SipRequest request() {
+    return request;
+  }
+
+  /** Where it was sent. */
+  public Hop hop() {
+    return hop;
+  }
+
+  /** Key of the transaction: branch and method (RFC 3261 section 17.1.3). */
+  String key() {
+    return request.via().branch() + ' ' + request.method();
+  }
+
+  abstract void start();
+
+  abstract void receive(SipResponse response);
+
+  /** The transport could not deliver to this hop, or lost its connection. */
+  abstract void lost(Failure failure);
+
+  void transmit() {
+    if (wire == null) {
+      wire = request.toBytes();
+    }
+    layer.host().send(hop, wire);
+  }
+
+  /** Marks a request that left by TCP only because it was too large for a datagram. */
+  void enlarged() {
+    enlarged = true;
+  }
+
+  /**
+   * Goes back to UDP where no connection could be had for a large request (RFC 3261 section
+   * 18.1.1); whether it did.
+   */
+  boolean fellBack(Failure failure) {
+    if (failure != Failure.REFUSED || !enlarged) {
+      return false;
+    }
+    enlarged = false;
+    layer.unlink(this);
+    moveTo(hop.by(Transport.UDP));
+    start();
+    return true;
+  }
+
+  private void moveTo(Hop other) {
+    Via via = request.via();
+    Hop local = layer.host().local(other.transport());
+    String named = other.transport().name();
+    request.topVia(new Via(named, local.host(), local.port(), via.params()));
+    hop = other;
+    wire = null;
+  }
+
+  boolean reliable() {
+    return hop.transport().reliable();
+  }
+
+  SipHost.Timer after(double delay, Runnable task) {
+    return layer.host().after(delay, task);
+  }
+
+  void tell(SipResponse response) {
+    listener.response(response);
+  }
+
+  void tell(Failure failure) {
+    listener.failed(failure);
+  }
+
+  static void stop(SipHost.Timer timer) {
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/sip/src/main/java/coveladder/sip/InviteServerTransaction.java
@@ -0,0 +1,96 @@
+package coveladder.sip;
+
+/**
+ * The INVITE server transaction: RFC 3261 figure 7 with the Accepted state of RFC 6026 section 8.5.
+ */
+public final class InviteServerTransaction extends ServerTransaction {
+  /** A 100 goes out by itself after this, ms (RFC 3261 section 17.2.1). */
+  private static final double TRYING_AFTER = 200;
+
+  /** The states of the figure. */
+  enum State {
+    PROCEEDING,
+    COMPLETED,
+    CONFIRMED,
+    ACCEPTED,
+    TERMINATED
+  }
+
+  private State state = State.PROCEEDING;
+  private boolean provisionalSent;
+  private SipHost.Timer timerG;
+  private SipHost.Timer timerH;
+  private SipHost.Timer trying;
+  private double gap;
+
+  InviteServerTransaction(TransactionLayer layer, SipRequest request, Hop source, double arrived) {
+    super(layer, request, source, arrived);
+    trying = after(TRYING_AFTER, this::sayTrying);
+  }
+
+  private void sayTrying() {
+    if (state == State.PROCEEDING && !provisionalSent) {
+      respond(request().response(100));
+    }
+  }
+
+  @Override
+  public void respond(SipResponse response) {
+    if (state == State.PROCEEDING) {
+      provisionalSent = true;
+      trying.cancel();
+      if (response.success()) {
+        state = State.ACCEPTED;
+        after(timing.life(), this::finish);
+      } else if (!response.provisional()) {
+        state = State.COMPLETED;
+        gap = timing.t1();
+        timerG = reliable() ? null : after(gap, this::repeat);
+        timerH = after(timing.life(), this::finish);
+      }
+      transmit(response);
+    } else if (state == State.ACCEPTED && response.success()) {
+      transmit(response);
+    }
+  }
+
+  private void repeat() {
+    if (state == State.COMPLETED) {
+      transmitAgain();
+      gap = Math.min(2 * gap, timing.t2());
+      timerG = after(gap, this::repeat);
+    }
+  }
+
+  @Override
+  public boolean answered() {
+    return state != State.PROCEEDING;
+  }
+
+  @Override
+  void repeated() {
+    if (state == State.PROCEEDING || state == State.COMPLETED) {
+      transmitAgain();
+    }
+  }
+
+  /** An ACK with this branch came; whether it was for this transaction. */
+  boolean acknowledged() {
+    if (state == State.COMPLETED) {
+      state = State.CONFIRMED;
+      ClientTransaction.stop(timerG);
+      ClientTransaction.stop(timerH);
+      after(reliable() ? 0 : timing.t4(), this::finish);
+    }
+    return state != State.ACCEPTED;
+  }
+
+  private void finish() {
+    if (state != State.TERMINATED) {
+      state = State.TERMINATED;
+      ClientTransaction.stop(timerG);
+      ClientTransaction.stop(timerH);
+      layer.over(this);
+    }
+  }
+}
--- /dev/null
+++ b/sip/src/main/java/coveladder/sip/NonInviteServerTransaction.java
@@ -0,0 +1,58 @@
+package coveladder.sip;
+
+/** The non-INVITE server transaction: RFC 3261 figure 8. */
+public final class NonInviteServerTransaction extends ServerTransaction {
+
+  /** The states of the figure. */
+  enum State {
+    TRYING,
+    PROCEEDING,
+    COMPLETED,
+    TERMINATED
+  }
+
+  private State state = State.TRYING;
+
+  NonInviteServerTransaction(
+      TransactionLayer layer, SipRequest request, Hop source, double arrived) {
+    super(layer, request, source, arrived);
+    after(timing.life(), this::abandon);
+  }
+
+  @Override
+  public void respond(SipResponse response) {
+    if (state == State.TRYING || state == State.PROCEEDING) {
+      state = response.provisional() ? State.PROCEEDING : State.COMPLETED;
+      transmit(response);
+      if (state == State.COMPLETED) {
+        after(reliable() ? 0 : timing.life(), this::finish);
+      }
+    }
+  }
+
+  @Override
+  public boolean answered() {
+    return state == State.COMPLETED || state == State.TERMINATED;
+  }
+
+  @Override
+  void repeated() {
+    if (state == State.PROCEEDING || state == State.COMPLETED) {
+      transmitAgain();
+    }
+  }
+
+  /** Bounds a transaction that its user never answers; the client has long given up by then. */
+  private void abandon() {
+    if (!answered()) {
+      finish();
+    }
+  }
+
+  private void finish() {
+    if (state != State.TERMINATED) {
+      state = State.TERMINATED;
+      layer.over(this);
+    }
+  }
+}
--- /dev/null
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -0,0 +1,291 @@
+package coveladder.sip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * User agent core (RFC 3261 section 8): begins and takes calls, finds the leg that a request within
+ * a dialog belongs to, and answers what is nobody's.
+ */
+public final class UserAgent implements TransactionUser {
+  private static final Set<String> KNOWN =
+      Set.of(
+          "INVITE",
+          "ACK",
+          "BYE",
+          "CANCEL",
+          "OPTIONS",
+          "PRACK",
+          "UPDATE",
+          "INFO",
+          "MESSAGE",
+          "SUBSCRIBE",
+          "NOTIFY");
+
+  /** Methods told in Allow. */
+  public static final String ALLOW = String.join(", ", KNOWN.stream().sorted().toList());
+
+  private final SipHost host;
+  private final Timing timing;
+  private final TransactionLayer layer;
+  private final Owner owner;
+  private final Map<String, CallLeg> legs = new HashMap<>();
+  private final Map<ServerTransaction, CallLeg> taken = new HashMap<>();
+  private long tags;
+
+  /** What the owner of a user agent decides. */
+  public interface Owner {
+
+    /** A new call; the listener hears of it from now on. Null where 503 was answered. */
+    CallListener incoming(CallLeg leg);
+
+    /** A new call's leg, right after {@link #incoming} took it. */
+    void taken(CallLeg leg);
+
+    /** A request outside all dialogs, or a NOTIFY; an answer is owed. */
+    void request(ServerTransaction transaction, SipRequest request);
+  }
+
+  /** Makes a user agent with at most so many server transactions. */
+  public UserAgent(SipHost host, Timing timing, int most, Owner owner) {
+    this.host = host;
+    this.timing = timing;
+    this.owner = owner;
+    this.layer = new TransactionLayer(host, timing, most, this);
+  }
+
+  /** The transactions. */
+  public TransactionLayer layer() {
+    return layer;
+  }
+
+  /** Dialogs held. */
+  public int dialogs() {
+    return legs.size();
+  }
+
+  Timing timing() {
+    return timing;
+  }
+
+  SipHost.Timer after(double delay, Runnable task) {
+    return host.after(delay, task);
+  }
+
+  /** A tag or Call-ID that no other has. */
+  public String newTag() {
+    tags++;
+    return Long.toHexString(host.random().nextLong() >>> 8) + Long.toHexString(tags);
+  }
+
+  /** Own Contact toward a peer, by the transport that it uses. */
+  public String contact(Hop peer) {
+    Hop local = host.local(peer.transport());
+    String by = peer.transport() == Transport.TCP ? ";transport=tcp" : "";
+    return "<sip:" + local.host() + ':' + local.port() + by + '>';
+  }
+
+  /**
+   * Begins a call.
+   *
+   * @param invite an INVITE with its Request-URI, From and To; what else a leg needs is added
+   */
+  public CallLeg call(SipRequest invite, Hop hop, CallListener listener) {
+    invite.set("From", invite.header("From") + ";tag=" + newTag());
+    fill(invite, newTag() + "@" + host.local(hop.transport()).host(), hop);
+    CallLeg leg = new CallLeg(this, invite, listener);
+    leg.start(hop);
+    return leg;
+  }
+
+  private void fill(SipRequest request, String callId, Hop hop) {
+    request.set("Call-ID", callId);
+    request.set("CSeq", new CSeq(1, request.method()).toString());
+    if (request.header("Max-Forwards") == null) {
+      request.add("Max-Forwards", "70");
+    }
+    if (request.header("Contact") == null) {
+      request.add("Contact", contact(hop));
+    }
+  }
+
+  /** Sends a request outside all dialogs. */
+  public void sendAlone(SipRequest request, Hop hop, ClientTransaction.Listener answers) {
+    if (request.fromTag() == null) {
+      request.set("From", request.header("From") + ";tag=" + newTag());
+    }
+    if (request.callId() == null) {
+      fill(request, newTag() + "@" + host.local(hop.transport()).host(), hop);
+    }
+    layer.send(request, hop, answers);
+  }
+
+  // ---- For legs -----------------------------------------------------------------------------
+
+  void send(SipRequest request, Hop hop, ClientTransaction.Listener answers) {
+    if (hop == null) {
+      answers.failed(Failure.REFUSED);
+    } else {
+      layer.send(request, hop, answers);
+    }
+  }
+
+  void sendAck(SipRequest ack, Hop hop) {
+    if (hop != null) {
+      layer.sendAck(ack, hop);
+    }
+  }
+
+  /** Sends an ACK that may have been sent before, with the Via that it has. */
+  void sendAgain(SipRequest ack, Hop hop) {
+    if (ack.header("Via") == null) {
+      sendAck(ack, hop);
+    } else if (hop != null) {
+      host.send(hop, ack.toBytes());
+    }
+  }
+
+  void remember(Dialog dialog, CallLeg leg) {
+    legs.put(dialog.key(), leg);
+  }
+
+  void forget(Dialog dialog) {
+    legs.remove(dialog.key());
+  }
+
+  void answered(ServerTransaction invite) {
+    taken.remove(invite);
+  }
+
+  /** Acknowledges a 2xx that nobody wants any more and releases it at once. */
+  void release(SipRequest invite, SipResponse response) {
+    Dialog dialog = Dialog.ofCaller(invite, response);
+    sendAck(dialog.ack(response.cseq().number()), dialog.hop());
+    send(dialog.request("BYE"), dialog.hop(), ClientTransaction.Listener.IGNORE);
+  }
+
+  // ---- From the transactions ----------------------------------------------------------------
+
+  @Override
+  public void request(ServerTransaction transaction, SipRequest request) {
+    SipResponse unfit = unfit(request);
+    if (unfit != null) {
+      transaction.respond(unfit);
+    } else if (request.toTag() != null && !request.is("NOTIFY")) {
+      within(transaction, request);
+    } else if (request.is("INVITE")) {
+      begin(transaction);
+    } else if (request.is("OPTIONS") || owns(request)) {
+      owner.request(transaction, request);
+    } else {
+      transaction.respond(request.response(481));
+    }
+  }
+
+  private static boolean owns(SipRequest request) {
+    return request.is("MESSAGE") || request.is("SUBSCRIBE") || request.is("NOTIFY");
+  }
+
+  /** The answer to a request that cannot be served whatever it asks (section 8.2), or null. */
+  private static SipResponse unfit(SipRequest request) {
+    if (!KNOWN.contains(request.method())) {
+      SipResponse response = request.response(501);
+      response.add("Allow", ALLOW);
+      return response;
+    }
+    if (SipUri.parse(request.uri()) == null) {
+      return request.response(416);
+    }
+    if (request.number("Max-Forwards", 70) == 0 && request.toTag() == null) {
+      return request.response(483);
+    }
+    String required = request.header("Proxy-Require");
+    if (required != null) {
+      SipResponse response = request.response(420);
+      response.add("Unsupported", required);
+      return response;
+    }
+    return null;
+  }
+
+  private void within(ServerTransaction transaction, SipRequest request) {
+    CallLeg leg = legs.get(Dialog.key(request.callId(), request.toTag(), request.fromTag()));
+    if (leg == null) {
+      transaction.respond(request.response(481));
+    } else {
+      leg.receive(transaction, request);
+    }
+  }
+
+  private void begin(ServerTransaction transaction) {
+    Router router = new Router();
+    CallLeg leg = new CallLeg(this, transaction, router);
+    router.listener = owner.incoming(leg);
+    if (router.listener != null) {
+      taken.put(transaction, leg);
+      owner.taken(leg);
+    }
+  }
+
+  /** Stands for the listener that the owner names once it saw the leg. */
+  private static final class Router implements CallListener {
+    private CallListener listener;
+
+    @Override
+    public void cancelled(CallLeg leg) {
+      listener.cancelled(leg);
+    }
+
+    @Override
+    public void acknowledged(CallLeg leg, SipRequest ack) {
+      listener.acknowledged(leg, ack);
+    }
+
+    @Override
+    public void request(CallLeg leg, ServerTransaction transaction, SipRequest request) {
+      listener.request(leg, transaction, request);
+    }
+
+    @Override
+    public void ended(CallLeg leg, SipRequest bye) {
+      listener.ended(leg, bye);
+    }
+  }
+
+  @Override
+  public void ack(SipRequest ack) {
+    CallLeg leg = legs.get(Dialog.key(ack.callId(), ack.toTag(), ack.fromTag()));
+    if (leg != null) {
+      leg.acknowledged(ack);
+    }
+  }
+
+  @Override
+  public void cancelled(ServerTransaction invite, SipRequest cancel) {
+    CallLeg leg = taken.get(invite);
+    if (leg != null) {
+      leg.cancelled();
+    }
+  }
+
+  @Override
+  public void stray(SipResponse response) {
+    SipRequest invite = new SipRequest("INVITE", "sip:unknown.invalid");
+    invite.copy("From", response);
+    invite.copy("Call-ID", response);
+    invite.copy("CSeq", response);
+    CallLeg leg = legs.get(Dialog.key(response.callId(), response.fromTag(), response.toTag()));
+    boolean standing = leg != null && leg.state() == CallLeg.State.CONFIRMED;
+    if (!standing && response.address("Contact") != null && response.toTag() != null) {
+      release(invite, response);
+    }
+  }
+
+  /** Legs that have taken an INVITE and not yet given its final answer. */
+  public List<CallLeg> unanswered() {
+    return new ArrayList<>(taken.values());
+  }
+}
