sipfront: back-to-back user agent between SIP and the core

Callers' INVITEs become calls, the core's orders INVITE, CANCEL and BYE toward the own switch; answers come back as the module's words. Circuits and list by subscription, load from Via, peers by MESSAGE, probes by OPTIONS.

--- /dev/null
+++ b/sipfront/src/main/java/coveladder/sipfront/HostClock.java
@@ -0,0 +1,23 @@
+package coveladder.sipfront;
+
+import coveladder.core.Clockwork;
+import coveladder.sip.SipHost;
+
+/** The world's clock as the core wants it. */
+final class HostClock implements Clockwork {
+  private final SipHost host;
+
+  HostClock(SipHost host) {
+    this.host = host;
+  }
+
+  @Override
+  public double now() {
+    return host.now();
+  }
+
+  @Override
+  public Stop after(double delay, Runnable task) {
+    return host.after(delay, task)::cancel;
+  }
+}
--- /dev/null
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -0,0 +1,419 @@
+package coveladder.sipfront;
+
+import coveladder.CallPolicy;
+import coveladder.CallPolicy.Call;
+import coveladder.core.AttemptGuard;
+import coveladder.core.AttemptOrder;
+import coveladder.core.CallController;
+import coveladder.core.Clockwork;
+import coveladder.core.ExchangeList;
+import coveladder.core.FinalAnswer;
+import coveladder.core.LoadReports;
+import coveladder.core.Signalling;
+import coveladder.sip.CallLeg;
+import coveladder.sip.CallListener;
+import coveladder.sip.ClientTransaction;
+import coveladder.sip.EndToEnd;
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.NameAddr;
+import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import coveladder.sip.SipRequest;
+import coveladder.sip.SipResponse;
+import coveladder.sip.SipStack;
+import coveladder.sip.SipUri;
+import coveladder.sip.Subscriber;
+import coveladder.sip.UserAgent;
+import coveladder.sip.Via;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * One call controller as SIP peers see it: callers' INVITEs become calls of the core, what the core
+ * orders becomes INVITE, CANCEL and BYE toward the own switch.
+ */
+public final class SipFront implements SipNode, UserAgent.Owner, Signalling {
+  /** Event package of the exchange list. */
+  public static final String LIST_EVENT = "exchange-list";
+
+  /** Event package of the own switch's circuit groups. */
+  public static final String CIRCUIT_EVENT = "circuit-groups";
+
+  private final SipHost host;
+  private final FrontSettings settings;
+  private final SipStack stack;
+  private final CallController controller;
+  private final Clockwork clock;
+  private final Map<String, Bridge> bridges = new HashMap<>();
+  private final Subscriber list;
+  private final Subscriber circuits;
+  private String circuitEpoch = "";
+  private long sequence;
+  private String badFeed = "";
+  private Bridge taking;
+
+  /**
+   * Makes a controller. It does nothing before {@link #start}.
+   *
+   * @param policies makes the policy that decides
+   */
+  public SipFront(
+      SipHost host,
+      FrontSettings settings,
+      CallPolicy.Settings rules,
+      AttemptGuard guard,
+      CallController.Journal journal,
+      Function<CallPolicy.Actions, CallPolicy> policies) {
+    this.host = host;
+    this.settings = settings;
+    this.clock = new HostClock(host);
+    this.stack = new SipStack(host, settings.timing(), settings.limits(), this);
+    this.controller = new CallController(rules, this, guard, journal, policies);
+    this.list = subscriber(LIST_EVENT, settings.listServer(), new ListWatcher());
+    this.circuits = subscriber(CIRCUIT_EVENT, settings.ownSwitch(), new CircuitWatcher());
+    stack.agent().layer().offerOverloadControl();
+  }
+
+  private Subscriber subscriber(String event, Hop at, Subscriber.Watcher watcher) {
+    String target = "sip:" + event + '@' + at.host() + ':' + at.port();
+    String self = "sip:controller@" + settings.domain();
+    return new Subscriber(stack.agent(), host, event, self, target, at, watcher);
+  }
+
+  /** Begins: subscribes and starts the policy. */
+  @Override
+  public void start() {
+    controller.start();
+    circuits.subscribe();
+  }
+
+  @Override
+  public void receive(Hop from, byte[] message, double arrived) {
+    stack.receive(from, message, arrived);
+  }
+
+  @Override
+  public void failed(Hop hop, Failure failure) {
+    stack.failed(hop, failure);
+  }
+
+  /** The stack. */
+  public SipStack stack() {
+    return stack;
+  }
+
+  /** The core. */
+  public CallController controller() {
+    return controller;
+  }
+
+  /** What was wrong with the last NOTIFY that could not be used; empty if none was. */
+  public String badFeed() {
+    return badFeed;
+  }
+
+  /** Calls with any leg left. */
+  public int bridges() {
+    return bridges.size();
+  }
+
+  /** Takes nothing new, answers each call in flight, and gives up its subscriptions. */
+  public void shutDown() {
+    controller.shutDown();
+    list.stop();
+    circuits.stop();
+  }
+
+  UserAgent agent() {
+    return stack.agent();
+  }
+
+  SipHost host() {
+    return host;
+  }
+
+  FrontSettings settings() {
+    return settings;
+  }
+
+  Hop ownSwitch() {
+    return settings.ownSwitch();
+  }
+
+  // ---- Calls that come in -------------------------------------------------------------------
+
+  @Override
+  public CallListener incoming(CallLeg leg) {
+    SipUri uri = SipUri.parse(leg.invite().uri());
+    int destination = controller.list().numberOf(uri.host());
+    if (bridges.size() >= settings.maxCalls() || controller.list().version() < 0) {
+      int wait = settings.retryAfter();
+      leg.reject(FinalResponses.unavailable(leg, ReasonField.CONGESTION, false, wait));
+      return null;
+    }
+    if (uri.user().isEmpty() || destination < 0) {
+      leg.reject(leg.response(uri.user().isEmpty() ? 484 : 404));
+      return null;
+    }
+    sequence++;
+    String id = Long.toHexString(sequence);
+    taking = new Bridge(this, id, isFromOwnSwitch(leg), leg);
+    bridges.put(id, taking);
+    return taking.callerSide();
+  }
+
+  @Override
+  public void taken(CallLeg leg) {
+    Bridge bridge = taking;
+    SipRequest invite = leg.invite();
+    SipUri uri = SipUri.parse(invite.uri());
+    int type = settings.classes().classOf(invite, uri.user());
+    int cause = ReasonField.of(invite).cause();
+    String id = Long.toHexString(sequence);
+    Call call =
+        new Call(
+            id,
+            type,
+            patience(leg),
+            controller.settings().classes().get(type).width(),
+            uri.user(),
+            controller.list().numberOf(uri.host()),
+            isFromOwnSwitch(leg),
+            ReasonField.saysSip(invite),
+            cause == ReasonField.TEMPORARY_FAILURE);
+    controller.callArrived(call);
+    if (bridge.over()) {
+      bridges.remove(id);
+    }
+  }
+
+  /** What is left of the caller's time: it waited here unread, and the answer has a way to go. */
+  private double patience(CallLeg leg) {
+    String written = leg.invite().header("Expires");
+    double whole = written == null ? settings.patience() : 1000.0 * Long.parseLong(written);
+    return Math.max(0, whole - leg.waited(host.now()) - settings.answerMargin());
+  }
+
+  /** A call that the own switch hands over came from another exchange: it is in transit. */
+  private boolean isFromOwnSwitch(CallLeg leg) {
+    Via via = leg.invite().via();
+    Hop own = settings.ownSwitch();
+    return via.host().equals(own.host()) && via.portOrDefault() == own.port();
+  }
+
+  /** Forgets a call once nothing is left of it. */
+  void tidy(String id) {
+    Bridge bridge = bridges.get(id);
+    if (bridge != null && bridge.over()) {
+      bridges.remove(id);
+    }
+  }
+
+  // ---- What the core orders -----------------------------------------------------------------
+
+  @Override
+  public Clockwork clockwork() {
+    return clock;
+  }
+
+  @Override
+  public void startAttempt(AttemptOrder order) {
+    Bridge bridge = bridges.get(order.call());
+    bridge.start(order, attemptInvite(order, bridge.caller().invite()));
+  }
+
+  private SipRequest attemptInvite(AttemptOrder order, SipRequest came) {
+    String domain =
+        order.destination() == null
+            ? SipUri.parse(came.uri()).host()
+            : order.destination().domain();
+    String uri = "sip:" + order.number() + '@' + domain;
+    SipRequest invite = new SipRequest("INVITE", uri);
+    Hop own = settings.ownSwitch();
+    invite.add("Max-Forwards", Long.toString(came.number("Max-Forwards", 70) - 1));
+    invite.add("Route", "<sip:" + own.host() + ':' + own.port() + ";lr>");
+    if (order.alternative()) {
+      invite.add("Route", '<' + order.first().address() + ";lr>");
+    }
+    invite.add("From", '<' + NameAddr.parse(came.header("From")).uri() + '>');
+    invite.add("To", '<' + uri + '>');
+    int seconds = (int) Math.max(1, Math.ceil(order.within() / 1000));
+    invite.add("Expires", Integer.toString(seconds));
+    EndToEnd.copy(came, invite);
+    return invite;
+  }
+
+  @Override
+  public void cancelAttempt(String call, int attempt) {
+    bridges.get(call).cancel(attempt);
+  }
+
+  @Override
+  public void releaseAttempt(String call, int attempt) {
+    Bridge bridge = bridges.get(call);
+    if (bridge != null) {
+      bridge.release(attempt);
+    }
+  }
+
+  @Override
+  public void answer(String call, FinalAnswer answer) {
+    bridges.get(call).answer(answer);
+    tidy(call);
+  }
+
+  @Override
+  public void releaseCaller(String call, boolean cut) {
+    bridges.get(call).releaseCaller(cut);
+  }
+
+  @Override
+  public void probe(ExchangeList.Entry exchange, double askedAt) {
+    SipRequest options = request("OPTIONS", exchange.address());
+    options.add("Accept", "application/json");
+    Hop hop = SipUri.parse(exchange.address()).hop();
+    agent().sendAlone(options, hop, new ProbeAnswers(exchange.id(), askedAt));
+  }
+
+  private SipRequest request(String method, String uri) {
+    SipRequest request = new SipRequest(method, uri);
+    request.add("From", "<sip:controller@" + settings.domain() + '>');
+    request.add("To", '<' + uri + '>');
+    return request;
+  }
+
+  /** Hears the answer to one probe. */
+  private final class ProbeAnswers implements ClientTransaction.Listener {
+    private final String exchange;
+    private final double askedAt;
+
+    ProbeAnswers(String exchange, double askedAt) {
+      this.exchange = exchange;
+      this.askedAt = askedAt;
+    }
+
+    @Override
+    public void response(SipResponse response) {
+      if (!response.provisional()) {
+        LoadReports.Report report = OverloadReport.of(response, host.now());
+        if (report != null) {
+          controller.loadReport(exchange, report);
+        }
+        controller.probed(exchange, response.success(), askedAt);
+      }
+    }
+
+    @Override
+    public void failed(Failure failure) {
+      controller.probed(exchange, false, askedAt);
+    }
+  }
+
+  @Override
+  public void tell(byte[] payload) {
+    for (ExchangeList.Entry entry : controller.list().entries()) {
+      if (entry.number() != controller.settings().self()) {
+        SipRequest message = request("MESSAGE", "sip:controller@" + entry.domain());
+        Hop own = settings.ownSwitch();
+        message.add("Route", "<sip:" + own.host() + ':' + own.port() + ";lr>");
+        message.set("From", "<sip:" + controller.settings().self() + '@' + settings.domain() + '>');
+        message.set("Content-Type", "application/octet-stream");
+        message.body(payload);
+        agent().sendAlone(message, own, ClientTransaction.Listener.IGNORE);
+      }
+    }
+  }
+
+  @Override
+  public void subscribeList() {
+    list.subscribe();
+  }
+
+  // ---- Requests outside of calls ------------------------------------------------------------
+
+  @Override
+  public void request(ServerTransaction transaction, SipRequest request) {
+    switch (request.method()) {
+      case "NOTIFY" -> {
+        if (!list.take(transaction, request) && !circuits.take(transaction, request)) {
+          transaction.respond(request.response(481));
+        }
+      }
+      case "OPTIONS" -> transaction.respond(abilities(request));
+      case "MESSAGE" -> peerMessage(transaction, request);
+      default -> transaction.respond(request.response(489));
+    }
+  }
+
+  private static SipResponse abilities(SipRequest request) {
+    SipResponse response = request.response(200);
+    response.add("Allow", UserAgent.ALLOW);
+    response.add("Accept", "application/sdp");
+    response.add("Supported", "100rel, timer");
+    return response;
+  }
+
+  private void peerMessage(ServerTransaction transaction, SipRequest request) {
+    SipUri from = SipUri.parse(request.address("From").uri());
+    boolean known = from != null && from.user().matches("[0-9]{1,9}");
+    transaction.respond(request.response(known ? 200 : 403));
+    if (known) {
+      controller.peer(Integer.parseInt(from.user()), request.body());
+    }
+  }
+
+  /** Load figures of the own switch ride on each of its answers. */
+  void learnLoad(SipResponse response) {
+    LoadReports.Report report = OverloadReport.of(response, host.now());
+    ExchangeList.Entry own = controller.list().byNumber(controller.settings().self());
+    if (report != null && own != null) {
+      controller.loadReport(own.id(), report);
+    }
+  }
+
+  /** Hears of the exchange list. */
+  private final class ListWatcher implements Subscriber.Watcher {
+    @Override
+    public void notified(SipRequest notify) {
+      try {
+        if (controller.listNews(FeedBodies.list(notify.bodyText(), host.now()))) {
+          list.subscribe();
+        }
+      } catch (FeedBodies.BadBody e) {
+        badFeed = LIST_EVENT + ": " + e.getMessage();
+      }
+    }
+
+    @Override
+    public void lost(String why) {
+      controller.listFailed();
+    }
+  }
+
+  /** Hears of the own circuit groups. */
+  private final class CircuitWatcher implements Subscriber.Watcher {
+    @Override
+    public void notified(SipRequest notify) {
+      try {
+        FeedBodies.CircuitNews news = FeedBodies.circuits(notify.bodyText());
+        if (!news.epoch().equals(circuitEpoch)) {
+          circuitEpoch = news.epoch();
+          controller.groups().clear();
+        }
+        for (FeedBodies.Circuits group : news.groups()) {
+          controller.circuits(group.toward(), group.free(), group.size(), news.version());
+        }
+      } catch (FeedBodies.BadBody e) {
+        badFeed = CIRCUIT_EVENT + ": " + e.getMessage();
+      }
+    }
+
+    @Override
+    public void lost(String why) {
+      // The figures held stay the last that are known; the subscriber asks again by itself.
+    }
+  }
+}
