--- /dev/null
+++ b/standin/src/main/java/coveladder/standin/StandinCallers.java
@@ -0,0 +1,250 @@
+package coveladder.standin;
+
+import coveladder.sip.CallLeg;
+import coveladder.sip.CallListener;
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import coveladder.sip.SipRequest;
+import coveladder.sip.SipResponse;
+import coveladder.sip.SipStack;
+import coveladder.sip.Timing;
+import coveladder.sip.UserAgent;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Stand-in callers: each makes its call, gives up when its patience ends, dials again after a
+ * refusal, hangs up in the end, and comes again when it was cut.
+ */
+public final class StandinCallers implements SipNode, UserAgent.Owner {
+  private static final String SDP =
+      "v=0\r\no=- 0 0 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\n"
+          + "m=audio 9 RTP/AVP 0\r\n";
+
+  private final SipHost host;
+  private final SipStack stack;
+  private final Map<Integer, Hop> controllers;
+  private final Habits habits;
+  private final Consumer<Fate> fates;
+  private List<CallPlan> plans = List.of();
+  private int next;
+  private int open;
+
+  /**
+   * How callers behave.
+   *
+   * @param redialAfter least wait before dialling again, ms; up to twice that
+   * @param followsRetryAfter share of callers that stay away as long as they are told
+   * @param returnAfter least wait before a cut call comes again, ms; up to five times that
+   */
+  public record Habits(double redialAfter, double followsRetryAfter, double returnAfter) {}
+
+  /**
+   * What became of one call, all its tries together.
+   *
+   * @param plan the call
+   * @param tries how often it was dialled
+   * @param stoodAfter time from the first try until it stood, ms; negative if it never did
+   * @param cut whether it was cut while it stood
+   * @param last status of the last final answer; 0 where none came in time
+   */
+  public record Fate(CallPlan plan, int tries, double stoodAfter, boolean cut, int last) {}
+
+  /** Makes callers that reach the controllers under their numbers. */
+  public StandinCallers(
+      SipHost host,
+      Timing timing,
+      Map<Integer, Hop> controllers,
+      Habits habits,
+      Consumer<Fate> fates) {
+    this.host = host;
+    this.controllers = controllers;
+    this.habits = habits;
+    this.fates = fates;
+    this.stack = new SipStack(host, timing, SipStack.Limits.USUAL, this);
+  }
+
+  /** Sets the calls to be made, in the order of their times. */
+  public void plan(List<CallPlan> calls) {
+    plans = calls;
+  }
+
+  @Override
+  public void start() {
+    dialNext();
+  }
+
+  private void dialNext() {
+    while (next < plans.size() && plans.get(next).at() <= host.now()) {
+      open++;
+      new Caller(plans.get(next++)).dial();
+    }
+    if (next < plans.size()) {
+      host.after(plans.get(next).at() - host.now(), this::dialNext);
+    }
+  }
+
+  /** Whether every call has come to its end. */
+  public boolean done() {
+    return next == plans.size() && open == 0;
+  }
+
+  /** Calls that are under way. */
+  public int open() {
+    return open;
+  }
+
+  /** One caller with its call. */
+  private final class Caller implements CallListener {
+    private final CallPlan plan;
+    private int tries;
+    private int redials;
+    private boolean returned;
+    private boolean wasCut;
+    private double stoodAfter = -1;
+    private int last;
+    private CallLeg leg;
+    private SipHost.Timer patience;
+
+    Caller(CallPlan plan) {
+      this.plan = plan;
+    }
+
+    void dial() {
+      tries++;
+      Hop to = controllers.get(plan.from()).by(plan.transport());
+      SipRequest invite = new SipRequest("INVITE", "sip:" + plan.number() + '@' + plan.to());
+      invite.add("From", "<sip:member@" + host.local(plan.transport()).host() + '>');
+      invite.add("To", '<' + invite.uri() + '>');
+      invite.add("Expires", Long.toString(Math.round(plan.patience() / 1000)));
+      invite.add("Resource-Priority", plan.priority());
+      invite.add("Session-ID", session() + ";remote=" + "0".repeat(32));
+      if (returned) {
+        invite.add("Reason", "Q.850;cause=41");
+      } else if (tries > 1) {
+        invite.add("Reason", "SIP;cause=" + (last == 0 ? 408 : last));
+      }
+      invite.body("application/sdp", SDP);
+      returned = false;
+      patience = host.after(plan.patience(), this::giveUp);
+      leg = stack.agent().call(invite, to, this);
+    }
+
+    /** The call's name, then the number of the try: each try is a call to its controller. */
+    private String session() {
+      return plan.session() + String.format(Locale.ROOT, "%08x", tries);
+    }
+
+    private void giveUp() {
+      if (leg.outstanding()) {
+        leg.cancel(null);
+        last = 0;
+        again(0);
+      }
+    }
+
+    @Override
+    public void answered(CallLeg answered, SipResponse response) {
+      answered.ack(null);
+      patience.cancel();
+      last = response.status();
+      stoodAfter = stoodAfter < 0 ? host.now() - plan.at() : stoodAfter;
+      host.after(plan.hold(), () -> hangUp(answered));
+    }
+
+    private void hangUp(CallLeg held) {
+      if (held == leg && held.state() == CallLeg.State.CONFIRMED) {
+        held.bye("Q.850;cause=16");
+        over();
+      }
+    }
+
+    @Override
+    public void rejected(CallLeg refused, SipResponse response) {
+      if (refused == leg) {
+        patience.cancel();
+        last = response.status();
+        again(1000.0 * response.number("Retry-After", 0));
+      }
+    }
+
+    @Override
+    public void failed(CallLeg gone, Failure failure) {
+      if (gone == leg) {
+        patience.cancel();
+        last = 0;
+        again(0);
+      }
+    }
+
+    /** Dials again after a wait, if it still cares. */
+    private void again(double told) {
+      CallLeg ended = leg;
+      leg = null;
+      if (ended == null) {
+        return;
+      }
+      if (redials >= plan.redials()) {
+        over();
+        return;
+      }
+      redials++;
+      double own = habits.redialAfter() * (1 + host.random().nextDouble());
+      boolean follows = host.random().nextDouble() < habits.followsRetryAfter();
+      host.after(follows ? Math.max(own, told) : own, this::dial);
+    }
+
+    @Override
+    public void ended(CallLeg cut, SipRequest bye) {
+      if (cut != leg) {
+        return;
+      }
+      leg = null;
+      String reason = bye == null ? "" : bye.header("Reason", "");
+      if (reason.contains("cause=41") && !wasCut) {
+        wasCut = true;
+        returned = true;
+        stoodAfter = -1;
+        double wait = habits.returnAfter() * (1 + 4 * host.random().nextDouble());
+        host.after(wait, this::dial);
+      } else {
+        over();
+      }
+    }
+
+    private void over() {
+      leg = null;
+      open--;
+      fates.accept(new Fate(plan, tries, stoodAfter, wasCut, last));
+    }
+  }
+
+  @Override
+  public void receive(Hop from, byte[] message, double arrived) {
+    stack.receive(from, message, arrived);
+  }
+
+  @Override
+  public void failed(Hop hop, Failure failure) {
+    stack.failed(hop, failure);
+  }
+
+  @Override
+  public CallListener incoming(CallLeg leg) {
+    leg.reject(leg.response(486));
+    return null;
+  }
+
+  @Override
+  public void taken(CallLeg leg) {}
+
+  @Override
+  public void request(ServerTransaction transaction, SipRequest request) {
+    transaction.respond(request.response(request.is("OPTIONS") ? 200 : 481));
+  }
+}
