--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Checker.java
@@ -0,0 +1,340 @@
+package coveladder.rehearsal;
+
+import coveladder.rehearsal.Verdict.Rule;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Judges the five rules from what crossed the wire and from nothing else. It knows which nodes are
+ * controllers and which are switches, and the figures of the rules; it shares no code with the
+ * controllers.
+ */
+public final class Checker {
+  private static final double ROUNDING = 1;
+
+  private final Figures figures;
+  private final Set<String> controllers;
+  private final Map<String, Watched> watched = new HashMap<>();
+  private final Map<String, Cold> cold = new HashMap<>();
+  private final Verdict verdict = new Verdict();
+
+  /**
+   * The figures of the rules.
+   *
+   * @param guard wait before a call is sent again after an unsure end, ms
+   * @param grace time to cease sending after word of a drain, ms
+   * @param slack time after the caller's patience in which a final answer still counts, ms
+   * @param life time after which an attempt without any answer is over (64*T1), ms
+   */
+  public record Figures(double guard, double grace, double slack, double life) {}
+
+  /** Makes a checker for these controllers. */
+  public Checker(Figures figures, Set<String> controllers) {
+    this.figures = figures;
+    this.controllers = controllers;
+  }
+
+  /** Judges a whole run; it ended at the last entry. */
+  public Verdict judge(List<Tap.Entry> entries) {
+    double end = 0;
+    for (Tap.Entry entry : entries) {
+      end = entry.time();
+      if (entry.kind() == Tap.Kind.NOTE) {
+        note(entry);
+      } else if (controllers.contains(entry.node())) {
+        watched.computeIfAbsent(entry.node(), Watched::new).see(entry);
+      } else if (entry.kind() == Tap.Kind.READ && cold.containsKey(entry.node())) {
+        cold.get(entry.node()).see(entry);
+      }
+    }
+    for (Watched controller : watched.values()) {
+      controller.finish(end);
+    }
+    return verdict;
+  }
+
+  /** Notes that begin with "cold" tell setup, from, ramp, multiple and window of a start. */
+  private void note(Tap.Entry entry) {
+    if (entry.note().startsWith("cold ")) {
+      cold.put(entry.node(), new Cold(entry));
+      verdict.look(Rule.COLD_SPARED);
+    } else if (entry.note().equals("killed")) {
+      watched.remove(entry.node());
+    }
+  }
+
+  /** A processor that started cold, and the set-ups that came to it. */
+  private final class Cold {
+    private final String name;
+    private final double started;
+    private final double[] figure = new double[5];
+    private final ArrayDeque<Double> setups = new ArrayDeque<>();
+    private boolean pushed;
+
+    Cold(Tap.Entry entry) {
+      name = entry.node();
+      started = entry.time();
+      String[] parts = entry.note().split(" ");
+      for (int i = 0; i < figure.length; i++) {
+        figure[i] = Double.parseDouble(parts[i + 1]);
+      }
+    }
+
+    void see(Tap.Entry entry) {
+      WireMessage message = WireMessage.read(entry.message());
+      double age = entry.time() - started;
+      if (message == null || !message.request("INVITE") || age >= figure[2]) {
+        return;
+      }
+      setups.add(entry.time());
+      while (setups.peek() < entry.time() - figure[4]) {
+        setups.poll();
+      }
+      double share = figure[1] + (1 - figure[1]) * age / figure[2];
+      double bears = figure[3] * share * figure[4] / figure[0];
+      if (setups.size() > bears && !pushed) {
+        pushed = true;
+        verdict.breach(
+            Rule.COLD_SPARED,
+            name + " got " + setups.size() + " set-ups in a window, bears " + (int) bears);
+      }
+    }
+  }
+
+  /** A call as its controller was handed it. */
+  private static final class Taken {
+    private final String session;
+    private final double read;
+    private final double until;
+    private boolean calledOff;
+    private String answer = "";
+    private double answeredAt = Double.NaN;
+    private final List<Try> tries = new ArrayList<>();
+
+    Taken(String session, double read, double until) {
+      this.session = session;
+      this.read = read;
+      this.until = until;
+    }
+  }
+
+  /** One attempt as it left a controller. */
+  private static final class Try {
+    private final double sent;
+    private final String peer;
+    private boolean cancelSent;
+    private boolean stands;
+    private boolean unsure;
+    private double over = Double.NaN;
+
+    Try(double sent, String peer) {
+      this.sent = sent;
+      this.peer = peer;
+    }
+
+    boolean isOver() {
+      return !Double.isNaN(over);
+    }
+
+    void over(double time, boolean isUnsure) {
+      if (!isOver()) {
+        over = time;
+        unsure = isUnsure || cancelSent;
+      }
+    }
+  }
+
+  /** One controller, seen from its wire. */
+  private final class Watched {
+    private final String name;
+    private final Map<String, Taken> byCallId = new LinkedHashMap<>();
+    private final Map<String, Taken> bySession = new HashMap<>();
+    private final Map<String, Try> tries = new HashMap<>();
+    private final KnownList list = new KnownList();
+
+    Watched(String name) {
+      this.name = name;
+    }
+
+    void see(Tap.Entry entry) {
+      if (entry.kind() == Tap.Kind.FAILED) {
+        lost(entry);
+        return;
+      }
+      WireMessage message = WireMessage.read(entry.message());
+      if (message == null) {
+        return;
+      }
+      if (entry.kind() == Tap.Kind.READ) {
+        read(entry, message);
+      } else {
+        sent(entry, message);
+      }
+    }
+
+    // ---- What it read -----------------------------------------------------------------------
+
+    private void read(Tap.Entry entry, WireMessage message) {
+      if (message.request("INVITE") && message.toTag().isEmpty()) {
+        taken(entry, message);
+      } else if (message.request("CANCEL") || message.request("BYE")) {
+        left(entry, message);
+      } else if (message.request("NOTIFY")) {
+        list.read(message.body(), entry.time());
+      } else if (message.status() >= 200 && message.answers().equals("INVITE")) {
+        answered(entry, message);
+      }
+    }
+
+    private void taken(Tap.Entry entry, WireMessage message) {
+      if (byCallId.containsKey(message.callId())) {
+        return;
+      }
+      double patience = 1000 * Double.parseDouble("0" + message.header("expires"));
+      double until = patience == 0 ? Double.MAX_VALUE : entry.arrived() + patience;
+      Taken call = new Taken(message.session(), entry.time(), until);
+      byCallId.put(message.callId(), call);
+      bySession.put(message.session(), call);
+    }
+
+    private void left(Tap.Entry entry, WireMessage message) {
+      Taken call = byCallId.get(message.callId());
+      if (call != null) {
+        call.calledOff = true;
+      }
+      Try attempt = tries.get(message.callId());
+      if (attempt != null) {
+        attempt.over(entry.time(), false);
+      }
+    }
+
+    private void answered(Tap.Entry entry, WireMessage message) {
+      Try attempt = tries.get(message.callId());
+      if (attempt != null && message.status() < 300) {
+        attempt.stands = true;
+      } else if (attempt != null) {
+        boolean unsure = message.status() == 408 || message.status() == 487;
+        attempt.over(entry.time(), unsure);
+      }
+    }
+
+    private void lost(Tap.Entry entry) {
+      for (Try attempt : tries.values()) {
+        boolean waits = !attempt.isOver() && !attempt.stands;
+        if (waits && attempt.peer.equals(entry.peer().toString())) {
+          attempt.over(entry.time(), entry.failure() != coveladder.sip.Failure.REFUSED);
+        }
+      }
+    }
+
+    // ---- What it sent -----------------------------------------------------------------------
+
+    private void sent(Tap.Entry entry, WireMessage message) {
+      Try known = tries.get(message.callId());
+      if (message.request("INVITE") && message.toTag().isEmpty()) {
+        if (known == null) {
+          attempt(entry, message);
+        }
+      } else if (message.request("CANCEL") && known != null) {
+        known.cancelSent = true;
+      } else if (message.request("BYE") && known != null) {
+        known.over(entry.time(), true);
+      } else if (message.status() >= 200 && message.answers().equals("INVITE")) {
+        answer(entry, message);
+      }
+    }
+
+    private void attempt(Tap.Entry entry, WireMessage message) {
+      Taken call = bySession.get(message.session());
+      String what = name + " call " + message.session() + " at " + (long) entry.time();
+      if (call == null) {
+        verdict.breach(Rule.ONE_OUTCOME, what + ": attempt for a call never taken");
+        return;
+      }
+      if (!call.answer.isEmpty()) {
+        verdict.breach(Rule.ONE_OUTCOME, what + ": attempt after the final answer");
+      }
+      drains(entry, message, what);
+      for (Try earlier : call.tries) {
+        earlierTry(entry.time(), earlier, what);
+      }
+      Try made = new Try(entry.time(), entry.peer().toString());
+      call.tries.add(made);
+      tries.put(message.callId(), made);
+    }
+
+    private void earlierTry(double now, Try earlier, String what) {
+      verdict.look(Rule.ONE_ATTEMPT);
+      boolean silentForLong = !earlier.stands && now - earlier.sent > figures.life();
+      if (!earlier.isOver() && !silentForLong) {
+        verdict.breach(Rule.ONE_ATTEMPT, what + ": the last one is still out");
+      }
+      if (earlier.isOver() && earlier.unsure) {
+        verdict.look(Rule.RELEASE_AWAITED);
+        if (now - earlier.over < figures.guard() - ROUNDING) {
+          long after = Math.round(now - earlier.over);
+          verdict.breach(Rule.RELEASE_AWAITED, what + ": sent " + after + " ms after the last");
+        }
+      }
+    }
+
+    private void drains(Tap.Entry entry, WireMessage message, String what) {
+      verdict.look(Rule.DRAINS_KEPT);
+      String[] routes = message.header("route").split(",");
+      double since =
+          routes.length > 1
+              ? list.addressClosed(routes[1].replaceAll(".*<(sip:[^;>]*).*", "$1"))
+              : list.domainClosed(message.uri().replaceAll(".*@", ""));
+      if (entry.time() - since > figures.grace() + ROUNDING) {
+        verdict.breach(
+            Rule.DRAINS_KEPT,
+            what + ": to an exchange that drains since " + Math.round(entry.time() - since));
+      }
+    }
+
+    private void answer(Tap.Entry entry, WireMessage message) {
+      Taken call = byCallId.get(message.callId());
+      boolean initial = call != null && message.sequence().equals("1");
+      if (!initial) {
+        return;
+      }
+      String given = message.status() + " " + message.toTag();
+      if (!call.answer.isEmpty() && !call.answer.equals(given)) {
+        verdict.breach(
+            Rule.ONE_OUTCOME,
+            name + " call " + call.session + ": answered " + given + " after " + call.answer);
+      }
+      if (call.answer.isEmpty()) {
+        call.answer = given;
+        call.answeredAt = entry.time();
+      }
+    }
+
+    // ---- The end ----------------------------------------------------------------------------
+
+    void finish(double end) {
+      for (Taken call : byCallId.values()) {
+        if (call.until + figures.slack() < end || !call.answer.isEmpty()) {
+          verdict.look(Rule.ONE_OUTCOME);
+          judge(call);
+        }
+      }
+    }
+
+    private void judge(Taken call) {
+      boolean readInTime = call.read <= call.until;
+      if (call.answer.isEmpty()) {
+        verdict.breach(Rule.ONE_OUTCOME, name + " call " + call.session + ": never answered");
+      } else if (readInTime && !call.calledOff && call.answeredAt > call.until + figures.slack()) {
+        long late = Math.round(call.answeredAt - call.until);
+        verdict.breach(
+            Rule.ONE_OUTCOME, name + " call " + call.session + ": answered " + late + " ms late");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Fleet.java
@@ -0,0 +1,263 @@
+package coveladder.rehearsal;
+
+import coveladder.CallPolicy;
+import coveladder.core.CallController;
+import coveladder.sip.Hop;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipStack;
+import coveladder.sip.Transport;
+import coveladder.sipfront.ClassTable;
+import coveladder.sipfront.FrontSettings;
+import coveladder.sipfront.SipFront;
+import coveladder.standin.CallPlan;
+import coveladder.standin.Processor;
+import coveladder.standin.StandinCallers;
+import coveladder.standin.StandinList;
+import coveladder.standin.StandinSwitch;
+import coveladder.standin.SwitchPlan;
+import coveladder.standin.Trunks;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** A whole fleet on a world: controllers, their switches, the list, callers. */
+public final class Fleet {
+  private static final String CREW = "standins";
+
+  private final World world;
+  private final FleetPlan plan;
+  private final long seed;
+  private final Tampering tampering;
+  private final Trunks trunks = new Trunks();
+  private final Map<Integer, SipFront> controllers = new TreeMap<>();
+  private final Map<Integer, StandinSwitch> switches = new TreeMap<>();
+  private final Map<Integer, StandinList.Line> lines = new TreeMap<>();
+  private final Map<Integer, Hop> controllerPlaces = new LinkedHashMap<>();
+  private final List<StandinCallers.Fate> fates = Collections.synchronizedList(new ArrayList<>());
+  private StandinList list;
+  private StandinCallers callers;
+  private int generation;
+
+  /** Builds a fleet; time has not begun yet. */
+  public Fleet(World world, FleetPlan plan, long seed, Tampering tampering) {
+    this.world = world;
+    this.plan = plan;
+    this.seed = seed;
+    this.tampering = tampering;
+    layTrunks();
+    place();
+    addStandins();
+    for (int i = 0; i < plan.exchanges(); i++) {
+      addController(i);
+    }
+  }
+
+  private void layTrunks() {
+    for (int i = 0; i < plan.exchanges(); i++) {
+      for (int j = i + 1; j < plan.exchanges(); j++) {
+        trunks.lay(i, j, plan.trunk());
+      }
+    }
+  }
+
+  private void place() {
+    world.place("list");
+    world.place("callers");
+    for (int i = 0; i < plan.exchanges(); i++) {
+      world.place(switchName(i));
+      controllerPlaces.put(i, world.place(controllerName(i)));
+    }
+  }
+
+  /** Name of a controller's node. */
+  public static String controllerName(int number) {
+    return "controller-" + number;
+  }
+
+  /** Name of a switch's node. */
+  public static String switchName(int number) {
+    return "switch-" + number;
+  }
+
+  /** Domain of an exchange. */
+  public static String domain(int number) {
+    return "x" + number + ".example";
+  }
+
+  private void addStandins() {
+    list =
+        world.add("list", CREW, host -> new StandinList(host, plan.timing(), plan.listLateness()));
+    Map<String, Hop> places = new HashMap<>();
+    Map<String, Integer> numbers = new HashMap<>();
+    for (int i = 0; i < plan.exchanges(); i++) {
+      Hop place = world.place(switchName(i));
+      places.put(domain(i), place);
+      numbers.put(domain(i), i);
+      String address = "sip:" + place.host() + ':' + place.port();
+      lines.put(i, new StandinList.Line("x" + i + "-0", i, domain(i), address, "in-service", -1));
+    }
+    list.enter(List.copyOf(lines.values()));
+    for (int i = 0; i < plan.exchanges(); i++) {
+      SwitchPlan switchPlan = switchPlan(i, places, numbers);
+      switches.put(
+          i, world.add(switchName(i), CREW, host -> new StandinSwitch(host, switchPlan, trunks)));
+    }
+    StandinCallers.Habits habits = new StandinCallers.Habits(600, 0.5, 400);
+    callers =
+        world.add(
+            "callers",
+            CREW,
+            host -> new StandinCallers(host, plan.timing(), controllerPlaces, habits, fates::add));
+  }
+
+  private SwitchPlan switchPlan(int number, Map<String, Hop> places, Map<String, Integer> numbers) {
+    Map<String, Integer> widths = new HashMap<>();
+    plan.kinds().forEach(kind -> widths.put(kind.priority(), kind.width()));
+    return new SwitchPlan(
+        number,
+        domain(number),
+        controllerPlaces.get(number),
+        places,
+        numbers,
+        widths,
+        Map.of("5550000", 3),
+        plan.answerAfter(),
+        plan.processor(),
+        plan.timing());
+  }
+
+  private void addController(int number) {
+    CallPolicy.Settings rules = plan.rules(number);
+    FrontSettings settings = frontSettings(number);
+    SipFront front =
+        world.add(
+            controllerName(number),
+            controllerName(number),
+            host -> front(tampering.host().apply(host), settings, rules));
+    controllers.put(number, front);
+  }
+
+  private SipFront front(SipHost host, FrontSettings settings, CallPolicy.Settings rules) {
+    long own = seed * 1000 + rules.self();
+    return new SipFront(
+        host,
+        settings,
+        rules,
+        tampering.guard().get(),
+        CallController.Journal.NONE,
+        tampering.maker(rules, own));
+  }
+
+  private FrontSettings frontSettings(int number) {
+    List<String> names = plan.kinds().stream().map(FleetPlan.Kind::name).toList();
+    List<String> priorities = plan.kinds().stream().map(FleetPlan.Kind::priority).toList();
+    Transport toSwitch = number % 2 == 0 ? Transport.TCP : Transport.UDP;
+    return new FrontSettings(
+        domain(number),
+        world.place(switchName(number)).by(toSwitch),
+        world.place("list").by(Transport.TCP),
+        new ClassTable(names, priorities, List.of(), 0),
+        3000,
+        FleetPlan.ANSWER_MARGIN,
+        100_000,
+        1,
+        plan.timing(),
+        SipStack.Limits.USUAL);
+  }
+
+  // ---- What scripts do ----------------------------------------------------------------------
+
+  /** Sets the calls to be made. */
+  public void calls(List<CallPlan> plans) {
+    callers.plan(plans);
+  }
+
+  /** A switch. */
+  public StandinSwitch exchange(int number) {
+    return switches.get(number);
+  }
+
+  /** A controller. */
+  public SipFront controller(int number) {
+    return controllers.get(number);
+  }
+
+  /** The callers. */
+  public StandinCallers callers() {
+    return callers;
+  }
+
+  /** The circuit groups. */
+  public Trunks trunks() {
+    return trunks;
+  }
+
+  /** The plan. */
+  public FleetPlan plan() {
+    return plan;
+  }
+
+  /** What became of each call that is over. */
+  public List<StandinCallers.Fate> fates() {
+    return List.copyOf(fates);
+  }
+
+  /** Names of the controllers' nodes. */
+  public Set<String> controllerNames() {
+    Set<String> names = new TreeSet<>();
+    controllers.keySet().forEach(number -> names.add(controllerName(number)));
+    return names;
+  }
+
+  /** The list says that an exchange drains. On the stand-ins' thread. */
+  public void drain(int number) {
+    list.change(List.of(lines.get(number).in("draining")));
+  }
+
+  /** A processor stops: calls through it are cut, its connections reset. */
+  public void stop(int number) {
+    switches.get(number).cutAll();
+    switches.get(number).stop();
+    world.reachable(switchName(number), false);
+  }
+
+  /** A new processor takes the place of one that stopped; it begins cold. */
+  public void startCold(int number) {
+    generation++;
+    StandinList.Line old = lines.get(number);
+    StandinList.Line fresh =
+        new StandinList.Line(
+            "x" + number + "-" + generation,
+            number,
+            old.domain(),
+            old.address(),
+            "in-service",
+            world.now());
+    lines.put(number, fresh);
+    Processor.Model model = plan.processor();
+    world
+        .tap()
+        .note(
+            world.now(),
+            switchName(number),
+            "cold "
+                + model.setup()
+                + ' '
+                + model.coldFrom()
+                + ' '
+                + model.ramp()
+                + ' '
+                + model.fallMultiple()
+                + ' '
+                + model.fall());
+    world.reachable(switchName(number), true);
+    switches.get(number).startCold();
+    list.change(List.of(old.in("gone"), fresh));
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/ServiceReport.java
@@ -0,0 +1,72 @@
+package coveladder.rehearsal;
+
+import coveladder.standin.StandinCallers.Fate;
+import java.util.List;
+import java.util.Locale;
+
+/** Service by class: the worth of calls that stood in time and were not cut, over that offered. */
+public final class ServiceReport {
+  private final FleetPlan plan;
+  private final List<Fate> fates;
+
+  /** Makes a report. */
+  public ServiceReport(FleetPlan plan, List<Fate> fates) {
+    this.plan = plan;
+    this.fates = fates;
+  }
+
+  /** Share of the worth offered that was served, all classes together; NaN without calls. */
+  public double service() {
+    double offered = 0;
+    double served = 0;
+    for (FleetPlan.Kind kind : plan.kinds()) {
+      List<Fate> own = of(kind);
+      offered += kind.worth() * own.size();
+      served += kind.worth() * own.stream().mapToDouble(fate -> earned(kind, fate)).sum();
+    }
+    return served / offered;
+  }
+
+  /** Share of a class's calls, late ones by what they still earn. */
+  public double service(FleetPlan.Kind kind) {
+    List<Fate> own = of(kind);
+    return own.stream().mapToDouble(fate -> earned(kind, fate)).sum() / own.size();
+  }
+
+  private List<Fate> of(FleetPlan.Kind kind) {
+    return fates.stream().filter(f -> f.plan().priority().equals(kind.priority())).toList();
+  }
+
+  private static double earned(FleetPlan.Kind kind, Fate fate) {
+    if (fate.stoodAfter() < 0 || fate.cut()) {
+      return 0;
+    }
+    return fate.stoodAfter() <= kind.aim() ? 1 : kind.late();
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder out = new StringBuilder();
+    String head = "class             calls  in time    late     cut  not set up  service%n";
+    out.append(String.format(Locale.ROOT, head));
+    for (FleetPlan.Kind kind : plan.kinds()) {
+      List<Fate> own = of(kind);
+      long stood = own.stream().filter(f -> f.stoodAfter() >= 0 && !f.cut()).count();
+      long inTime = own.stream().filter(f -> earned(kind, f) == 1).count();
+      long cut = own.stream().filter(Fate::cut).count();
+      out.append(
+          String.format(
+              Locale.ROOT,
+              "%-15s %7d  %7d %7d %7d  %10d   %.3f%n",
+              kind.name(),
+              own.size(),
+              inTime,
+              stood - inTime,
+              cut,
+              own.size() - stood - cut,
+              service(kind)));
+    }
+    return out.append(String.format(Locale.ROOT, "all by worth   %47s %.3f%n", "", service()))
+        .toString();
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/SimWorld.java
@@ -0,0 +1,296 @@
+package coveladder.rehearsal;
+
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import coveladder.sip.Transport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/**
+ * A simulated network in virtual time: delays, loss, repeats, overtaking, connections that break,
+ * nodes that freeze. Everything random comes from the seed, so a run replays to the same byte.
+ */
+public final class SimWorld implements World {
+  private static final int PORT = 5060;
+
+  private final VirtualTime time = new VirtualTime();
+  private final SplittableRandom random;
+  private final Tap tap = new Tap();
+  private final Map<String, Node> byName = new HashMap<>();
+  private final Map<String, Node> byHost = new HashMap<>();
+  private Conditions conditions = Conditions.SOUND;
+  private int ports = 20_000;
+
+  /** Makes an empty network. */
+  public SimWorld(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  /** One node with its address and connections. */
+  private final class Node implements SipHost {
+    private final String name;
+    private final String host;
+    private final SplittableRandom own = random.split();
+    private final Map<Hop, Connection> connections = new HashMap<>();
+    private SipNode inner;
+    private boolean reachable = true;
+    private double frozenUntil;
+
+    Node(String name, String host) {
+      this.name = name;
+      this.host = host;
+    }
+
+    @Override
+    public double now() {
+      return time.now();
+    }
+
+    @Override
+    public Timer after(double delay, Runnable task) {
+      Frozen timer = new Frozen(this, task);
+      timer.running = time.at(time.now() + delay, timer);
+      return timer;
+    }
+
+    @Override
+    public RandomGenerator random() {
+      return own;
+    }
+
+    @Override
+    public Hop local(Transport transport) {
+      return new Hop(transport, host, PORT);
+    }
+
+    @Override
+    public void send(Hop to, byte[] message) {
+      tap.sent(time.now(), name, to, message);
+      if (!reachable) {
+        return;
+      }
+      if (to.transport() == Transport.UDP) {
+        datagram(this, to, message);
+      } else {
+        stream(this, to, message);
+      }
+    }
+
+    void read(Hop from, byte[] message, double arrived) {
+      if (reachable) {
+        tap.read(time.now(), name, from, arrived, message);
+        inner.receive(from, message, arrived);
+      }
+    }
+
+    void failed(Hop hop, Failure failure) {
+      if (reachable) {
+        tap.failed(time.now(), name, hop, failure);
+        inner.failed(hop, failure);
+      }
+    }
+
+    /** Runs a task now, or once the node thaws. */
+    void whenThawed(Runnable task) {
+      if (time.now() < frozenUntil) {
+        time.at(frozenUntil, () -> whenThawed(task));
+      } else {
+        task.run();
+      }
+    }
+  }
+
+  /** A timer of a node, held back while it is frozen. */
+  private static final class Frozen implements Runnable, SipHost.Timer {
+    private final Node node;
+    private Runnable task;
+    private SipHost.Timer running;
+
+    Frozen(Node node, Runnable task) {
+      this.node = node;
+      this.task = task;
+    }
+
+    @Override
+    public void run() {
+      node.whenThawed(
+          () -> {
+            Runnable due = task;
+            task = null;
+            if (due != null) {
+              due.run();
+            }
+          });
+    }
+
+    @Override
+    public void cancel() {
+      task = null;
+      running.cancel();
+    }
+  }
+
+  /** A stream connection; each side knows the other by an address. */
+  private static final class Connection {
+    private final Node[] ends;
+    private final Hop[] peers;
+    private final double[] last = new double[2];
+    private boolean open = true;
+
+    Connection(Node from, Node to, Hop toPeer, Hop fromPeer) {
+      ends = new Node[] {from, to};
+      peers = new Hop[] {toPeer, fromPeer};
+    }
+  }
+
+  // ---- Building -----------------------------------------------------------------------------
+
+  @Override
+  public Hop place(String name) {
+    Node node = byName.computeIfAbsent(name, n -> new Node(n, "10.0.0." + (byName.size() + 1)));
+    byHost.put(node.host, node);
+    return node.local(Transport.UDP);
+  }
+
+  @Override
+  public <N extends SipNode> N add(String name, String crew, Function<SipHost, N> maker) {
+    place(name);
+    Node node = byName.get(name);
+    N made = maker.apply(node);
+    node.inner = made;
+    time.at(time.now(), () -> node.whenThawed(made::start));
+    return made;
+  }
+
+  // ---- The wire -----------------------------------------------------------------------------
+
+  private double way() {
+    return conditions.least() + (conditions.most() - conditions.least()) * random.nextDouble();
+  }
+
+  private void datagram(Node from, Hop to, byte[] message) {
+    Node target = byHost.get(to.host());
+    if (target == null || to.port() != PORT) {
+      return;
+    }
+    int copies = random.nextDouble() < conditions.lost() ? 0 : 1;
+    copies += random.nextDouble() < conditions.repeated() ? 1 : 0;
+    Hop source = from.local(Transport.UDP);
+    for (int i = 0; i < copies; i++) {
+      double arrives = time.now() + way();
+      time.at(arrives, () -> target.whenThawed(() -> target.read(source, message, arrives)));
+    }
+  }
+
+  private void stream(Node from, Hop to, byte[] message) {
+    Connection connection = from.connections.get(to);
+    if (connection == null) {
+      connection = connect(from, to);
+    }
+    if (connection == null) {
+      time.at(time.now() + way(), () -> from.whenThawed(() -> from.failed(to, Failure.REFUSED)));
+      return;
+    }
+    int side = connection.ends[0] == from ? 0 : 1;
+    Connection used = connection;
+    Node target = used.ends[1 - side];
+    double arrives = Math.max(used.last[side], time.now() + way());
+    used.last[side] = arrives;
+    time.at(arrives, () -> target.whenThawed(() -> deliver(used, side, message, arrives)));
+  }
+
+  private static void deliver(Connection used, int side, byte[] message, double arrives) {
+    if (used.open) {
+      used.ends[1 - side].read(used.peers[1 - side], message, arrives);
+    }
+  }
+
+  private Connection connect(Node from, Hop to) {
+    Node target = byHost.get(to.host());
+    if (target == null || to.port() != PORT || !target.reachable) {
+      return null;
+    }
+    Hop back = new Hop(Transport.TCP, from.host, ports++);
+    Connection made = new Connection(from, target, to, back);
+    from.connections.put(to, made);
+    target.connections.put(back, made);
+    made.last[0] = time.now() + 2 * way();
+    return made;
+  }
+
+  private void reset(Connection connection) {
+    if (!connection.open) {
+      return;
+    }
+    connection.open = false;
+    for (int side = 0; side < 2; side++) {
+      Node end = connection.ends[side];
+      Hop peer = connection.peers[side];
+      end.connections.remove(peer, connection);
+      time.at(time.now() + way(), () -> end.whenThawed(() -> end.failed(peer, Failure.RESET)));
+    }
+  }
+
+  // ---- Faults -------------------------------------------------------------------------------
+
+  @Override
+  public void at(double when, String name, Runnable action) {
+    time.at(when, action);
+  }
+
+  @Override
+  public void freeze(String name, double lasts) {
+    tap.note(time.now(), name, "frozen for " + lasts);
+    byName.get(name).frozenUntil = time.now() + lasts;
+  }
+
+  @Override
+  public void reachable(String name, boolean on) {
+    Node node = byName.get(name);
+    if (!on) {
+      resetConnections(name);
+    }
+    node.reachable = on;
+  }
+
+  @Override
+  public void resetConnections(String name) {
+    List<Connection> held = new ArrayList<>(byName.get(name).connections.values());
+    held.forEach(this::reset);
+  }
+
+  @Override
+  public void conditions(Conditions news) {
+    conditions = news;
+  }
+
+  // ---- Time ---------------------------------------------------------------------------------
+
+  @Override
+  public void run(double until, BooleanSupplier done) {
+    while (!done.getAsBoolean() && time.step(until)) {
+      continue;
+    }
+  }
+
+  @Override
+  public double now() {
+    return time.now();
+  }
+
+  @Override
+  public Tap tap() {
+    return tap;
+  }
+
+  @Override
+  public void close() {}
+}
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Verdict.java
@@ -0,0 +1,75 @@
+package coveladder.rehearsal;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the checker found: for each rule how much was looked at and what broke it. */
+public final class Verdict {
+  private static final int KEPT = 20;
+
+  private final Map<Rule, List<String>> breaches = new EnumMap<>(Rule.class);
+  private final Map<Rule, Long> looked = new EnumMap<>(Rule.class);
+  private final Map<Rule, Long> broken = new EnumMap<>(Rule.class);
+
+  /** The five rules of the brief. */
+  public enum Rule {
+    /** One final outcome for each call taken, in time, and nothing sent after it. */
+    ONE_OUTCOME,
+    /** Never two attempts outstanding. */
+    ONE_ATTEMPT,
+    /** Nothing new to an exchange past the grace after word of its drain. */
+    DRAINS_KEPT,
+    /** A cold processor is not pushed over. */
+    COLD_SPARED,
+    /** The release guard is awaited. */
+    RELEASE_AWAITED
+  }
+
+  /** Counts one thing that a rule was applied to. */
+  void look(Rule rule) {
+    looked.merge(rule, 1L, Long::sum);
+  }
+
+  /** Writes a breach down. */
+  void breach(Rule rule, String what) {
+    broken.merge(rule, 1L, Long::sum);
+    List<String> texts = breaches.computeIfAbsent(rule, r -> new ArrayList<>());
+    if (texts.size() < KEPT) {
+      texts.add(what);
+    }
+  }
+
+  /** Breaches of a rule. */
+  public long breaches(Rule rule) {
+    return broken.getOrDefault(rule, 0L);
+  }
+
+  /** Breaches of all rules. */
+  public long breaches() {
+    return broken.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  /** How often a rule was applied. */
+  public long looked(Rule rule) {
+    return looked.getOrDefault(rule, 0L);
+  }
+
+  /** The first breaches of a rule, in words. */
+  public List<String> texts(Rule rule) {
+    return breaches.getOrDefault(rule, List.of());
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder out = new StringBuilder();
+    for (Rule rule : Rule.values()) {
+      String word = rule.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
+      out.append(
+          String.format("%-16s %8d looked at  %6d broken%n", word, looked(rule), breaches(rule)));
+      texts(rule).forEach(text -> out.append("    ").append(text).append('\n'));
+    }
+    return out.toString();
+  }
+}
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/World.java
@@ -0,0 +1,61 @@
+package coveladder.rehearsal;
+
+import coveladder.sip.Hop;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/** A network with nodes on it, on sockets or simulated. Scripts run alike in both. */
+public interface World extends AutoCloseable {
+
+  /** Keeps an address for a node; UDP and TCP share its port. */
+  Hop place(String name);
+
+  /**
+   * Puts a node on its address.
+   *
+   * @param crew nodes of one crew share one thread
+   */
+  <N extends SipNode> N add(String name, String crew, Function<SipHost, N> maker);
+
+  /** Does something to a node, on its thread, at a clock time in milliseconds. */
+  void at(double time, String name, Runnable action);
+
+  /** Stops a node from reading, sending and timing for so long, ms; what comes meanwhile waits. */
+  void freeze(String name, double lasts);
+
+  /** Takes a node off the network, its connections reset; or puts it back. */
+  void reachable(String name, boolean on);
+
+  /** Resets all stream connections of a node. */
+  void resetConnections(String name);
+
+  /** What the network does to messages from now on. */
+  void conditions(Conditions conditions);
+
+  /** Lets time go on until the clock, or until all is done, whichever is first. */
+  void run(double until, BooleanSupplier done);
+
+  /** The clock, ms from the world's beginning. */
+  double now();
+
+  /** What crossed the wire. */
+  Tap tap();
+
+  @Override
+  void close();
+
+  /**
+   * What a network does to messages.
+   *
+   * @param least least time on the way, ms
+   * @param most longest time on the way, ms; datagrams with different times overtake each other
+   * @param lost share of datagrams that are lost
+   * @param repeated share of datagrams that come twice
+   */
+  record Conditions(double least, double most, double lost, double repeated) {
+    /** A sound network. */
+    public static final Conditions SOUND = new Conditions(0.2, 1, 0, 0);
+  }
+}
