net: UDP and TCP on one port on Grizzly filter chains; the rehearsal on sockets

The same controllers and stand-ins now run on loopback sockets as in virtual time. Connections are used again and made anew; refused and reset ones are told as what they are; bounds on header, body, connections and what waits for a peer, which is then let go; CRLF keep-alive both ways. Events run in one loop for each controller, with a queue of fixed length.

--- /dev/null
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -0,0 +1,188 @@
+package coveladder.net;
+
+import coveladder.sip.SipHost;
+import java.util.PriorityQueue;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One thread with its timers: everything of the nodes that live on it happens here, one thing after
+ * the other. What other threads hand over waits in a queue of fixed length.
+ */
+public final class EventLoop implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
+  private static final int BATCH = 64;
+  private static final double NANOS = 1e6;
+
+  private final long origin;
+  private final ArrayBlockingQueue<Runnable> queue;
+  private final PriorityQueue<Due> timers = new PriorityQueue<>();
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread thread;
+  private volatile long pausedUntil = Long.MIN_VALUE;
+  private volatile boolean running = true;
+  private long sequence;
+  private long faults;
+
+  /** A timer; equal times run in the order of their asking. */
+  private static final class Due implements Comparable<Due>, SipHost.Timer {
+    private final double time;
+    private final long order;
+    private Runnable task;
+
+    Due(double time, long order, Runnable task) {
+      this.time = time;
+      this.order = order;
+      this.task = task;
+    }
+
+    @Override
+    public void cancel() {
+      task = null;
+    }
+
+    @Override
+    public int compareTo(Due other) {
+      int byTime = Double.compare(time, other.time);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /**
+   * Makes a loop that is not yet running.
+   *
+   * @param origin nano time that counts as clock 0
+   * @param length most tasks that wait
+   */
+  public EventLoop(String name, long origin, int length) {
+    this.origin = origin;
+    this.queue = new ArrayBlockingQueue<>(length);
+    this.thread = new Thread(this::run, name);
+    this.thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** The clock, ms since the origin; it never steps back. */
+  public double now() {
+    return (System.nanoTime() - origin) / NANOS;
+  }
+
+  /** Hands a task over from any thread; false where too much waits, and the task is dropped. */
+  public boolean offer(Runnable task) {
+    boolean taken = queue.offer(task);
+    if (!taken) {
+      dropped.incrementAndGet();
+    }
+    return taken;
+  }
+
+  /** Hands a task over from any thread, waiting for room. */
+  public void put(Runnable task) throws InterruptedException {
+    queue.put(task);
+  }
+
+  /** Sets a timer, on the loop's thread or before it runs. */
+  public SipHost.Timer after(double delay, Runnable task) {
+    Due due = new Due(now() + delay, sequence++, task);
+    timers.add(due);
+    return due;
+  }
+
+  /** Makes the loop stand still for so long, ms; from any thread. */
+  public void pause(double lasts) {
+    pausedUntil = System.nanoTime() + (long) (lasts * NANOS);
+  }
+
+  /** Tasks dropped so far for want of room. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  /** Tasks that wait now. */
+  public int waiting() {
+    return queue.size();
+  }
+
+  /** Tasks that threw; each was logged and the loop went on. */
+  public long faults() {
+    return faults;
+  }
+
+  private void run() {
+    while (running) {
+      try {
+        turn();
+      } catch (InterruptedException e) {
+        running = false;
+      }
+    }
+  }
+
+  private void turn() throws InterruptedException {
+    Runnable task = queue.poll(untilNextTimer(), TimeUnit.NANOSECONDS);
+    standStill();
+    for (int i = 0; task != null && i < BATCH; i++) {
+      guarded(task);
+      runTimers();
+      task = i + 1 < BATCH ? queue.poll() : null;
+    }
+    runTimers();
+  }
+
+  private long untilNextTimer() {
+    Due next = timers.peek();
+    if (next == null) {
+      return 50_000_000L;
+    }
+    return Math.max(0, Math.min(50_000_000L, (long) ((next.time - now()) * NANOS)));
+  }
+
+  private void standStill() {
+    while (running && System.nanoTime() - pausedUntil < 0 && pausedUntil != Long.MIN_VALUE) {
+      LockSupport.parkNanos(pausedUntil - System.nanoTime());
+    }
+  }
+
+  private void runTimers() {
+    Due due = timers.peek();
+    while (due != null && due.time <= now()) {
+      timers.poll();
+      if (due.task != null) {
+        guarded(due.task);
+      }
+      due = timers.peek();
+    }
+  }
+
+  /** A fault in one event must not end the loop with all its calls. */
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      faults++;
+      LOG.error("an event failed", e);
+    }
+  }
+
+  @Override
+  public void close() {
+    running = false;
+    LockSupport.unpark(thread);
+    if (Thread.currentThread() != thread) {
+      thread.interrupt();
+      try {
+        thread.join(2_000);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -0,0 +1,75 @@
+package coveladder.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.nio.transport.UDPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.UDPNIOTransport;
+import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/** The Grizzly transports of a process; all its nodes share their selector threads. */
+public final class Sockets implements AutoCloseable {
+  private static final int DATAGRAM = 65_536;
+  private static final int BACKLOG = 4_096;
+
+  private final TCPNIOTransport tcp;
+  private final UDPNIOTransport udp;
+
+  /** Starts the transports with so many selector threads each. */
+  public Sockets(int selectors) throws IOException {
+    tcp =
+        TCPNIOTransportBuilder.newInstance()
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setReuseAddress(true)
+            .setTcpNoDelay(true)
+            .setServerConnectionBackLog(BACKLOG)
+            .setSelectorRunnersCount(selectors)
+            .build();
+    udp =
+        UDPNIOTransportBuilder.newInstance()
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setReadBufferSize(DATAGRAM)
+            .setSelectorRunnersCount(selectors)
+            .build();
+    tcp.start();
+    udp.start();
+  }
+
+  static FilterChain chain(org.glassfish.grizzly.filterchain.Filter last) {
+    return FilterChainBuilder.stateless().add(new TransportFilter()).add(last).build();
+  }
+
+  Connection<SocketAddress> listen(FilterChain chain, InetSocketAddress address)
+      throws IOException {
+    return TCPNIOBindingHandler.builder(tcp).processor(chain).build().bind(address, BACKLOG);
+  }
+
+  Connection<SocketAddress> bind(FilterChain chain, InetSocketAddress address) throws IOException {
+    return UDPNIOBindingHandler.builder(udp).processor(chain).build().bind(address);
+  }
+
+  @SuppressWarnings("rawtypes")
+  void connect(FilterChain chain, InetSocketAddress to, CompletionHandler<Connection> done) {
+    TCPNIOConnectorHandler.builder(tcp).processor(chain).build().connect(to, null, done);
+  }
+
+  @Override
+  public void close() {
+    try {
+      tcp.shutdownNow();
+      udp.shutdownNow();
+    } catch (IOException e) {
+      throw new IllegalStateException("transports did not stop: " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/net/src/test/java/coveladder/net/SocketNodeTest.java
@@ -0,0 +1,214 @@
+package coveladder.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.SipNode;
+import coveladder.sip.Transport;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class SocketNodeTest {
+  private static final String HOST = "127.0.0.1";
+  private static final SocketLimits LIMITS = new SocketLimits(2_000, 3_000, 3, 50_000, 400, 30_000);
+
+  private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Hop> sources = new LinkedBlockingQueue<>();
+  private Sockets sockets;
+  private EventLoop loop;
+  private SocketNode node;
+
+  @BeforeEach
+  void start() throws IOException {
+    sockets = new Sockets(1);
+    loop = new EventLoop("test", System.nanoTime(), 1_000);
+    node = new SocketNode(sockets, loop, LIMITS, HOST, 0, 1);
+    loop.start();
+    node.start(
+        new SipNode() {
+          @Override
+          public void start() {
+            heard.add("started");
+          }
+
+          @Override
+          public void receive(Hop from, byte[] message, double arrived) {
+            sources.add(from);
+            heard.add(new String(message, StandardCharsets.ISO_8859_1));
+          }
+
+          @Override
+          public void failed(Hop hop, Failure failure) {
+            heard.add(failure + " " + hop.port());
+          }
+        });
+    assertEquals("started", next());
+  }
+
+  @AfterEach
+  void stop() {
+    node.close();
+    loop.close();
+    sockets.close();
+  }
+
+  private String next() {
+    try {
+      return heard.poll(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  @Test
+  void udpAndTcpShareOnePort() throws IOException {
+    try (DatagramSocket udp = new DatagramSocket();
+        Socket tcp = new Socket(HOST, node.port())) {
+      byte[] datagram = bytes("by datagram");
+      InetAddress to = InetAddress.getByName(HOST);
+      udp.send(new DatagramPacket(datagram, datagram.length, to, node.port()));
+      assertEquals("by datagram", next());
+      String message = "A b SIP/2.0\r\nl: 3\r\n\r\nxyz";
+      tcp.getOutputStream().write(bytes(message));
+      assertEquals(message, next());
+    }
+  }
+
+  @Test
+  void answersLeaveByTheConnectionThatCameIn() throws Exception {
+    try (Socket tcp = new Socket(HOST, node.port())) {
+      tcp.getOutputStream().write(bytes("A b SIP/2.0\r\nl: 0\r\n\r\n"));
+      assertNotNull(next());
+      Hop from = sources.poll(10, TimeUnit.SECONDS);
+      assertEquals(tcp.getLocalPort(), from.port());
+      loop.offer(() -> node.send(from, bytes("answer")));
+      assertArrayEquals(bytes("answer"), tcp.getInputStream().readNBytes(6));
+    }
+  }
+
+  @Test
+  void aMessageCutAnywhereIsOneMessage() throws IOException {
+    String message = "A b SIP/2.0\r\nContent-Length: 4\r\n\r\nbody";
+    try (Socket tcp = new Socket(HOST, node.port())) {
+      tcp.setTcpNoDelay(true);
+      for (byte octet : bytes(message + message)) {
+        tcp.getOutputStream().write(octet);
+        tcp.getOutputStream().flush();
+      }
+      assertEquals(message, next());
+      assertEquals(message, next());
+    }
+  }
+
+  @Test
+  void aPingIsAnsweredByAPong() throws IOException {
+    try (Socket tcp = new Socket(HOST, node.port())) {
+      tcp.getOutputStream().write(bytes("\r\n\r\n"));
+      assertArrayEquals(bytes("\r\n"), tcp.getInputStream().readNBytes(2));
+    }
+  }
+
+  @Test
+  void aRefusedConnectionIsToldAsSuch() throws IOException {
+    int closed;
+    try (ServerSocket free = new ServerSocket(0)) {
+      closed = free.getLocalPort();
+    }
+    loop.offer(() -> node.send(new Hop(Transport.TCP, HOST, closed), bytes("x")));
+    assertEquals("REFUSED " + closed, next());
+  }
+
+  @Test
+  void aResetIsToldAndTheNextMessageConnectsAnew() throws IOException {
+    try (ServerSocket server = new ServerSocket(0)) {
+      Hop to = new Hop(Transport.TCP, HOST, server.getLocalPort());
+      loop.offer(() -> node.send(to, bytes("one")));
+      try (Socket first = server.accept()) {
+        assertArrayEquals(bytes("one"), first.getInputStream().readNBytes(3));
+        first.setSoLinger(true, 0);
+      }
+      assertEquals("RESET " + to.port(), next());
+      loop.offer(() -> node.send(to, bytes("two")));
+      try (Socket second = server.accept()) {
+        assertArrayEquals(bytes("two"), second.getInputStream().readNBytes(3));
+      }
+    }
+  }
+
+  @Test
+  void aPeerThatReadsNothingIsLetGoAtItsBound() throws IOException {
+    try (ServerSocket server = new ServerSocket(0)) {
+      Hop to = new Hop(Transport.TCP, HOST, server.getLocalPort());
+      byte[] much = new byte[40_000];
+      for (int i = 0; i < 900; i++) {
+        loop.offer(() -> node.send(to, much));
+        if (node.letGo() > 0) {
+          break;
+        }
+      }
+      assertEquals("RESET " + to.port(), next());
+    }
+  }
+
+  @Test
+  void oneConnectionTooManyIsClosed() throws IOException {
+    Socket[] open = new Socket[LIMITS.connections()];
+    for (int i = 0; i < open.length; i++) {
+      open[i] = new Socket(HOST, node.port());
+      open[i].getOutputStream().write(bytes("A b SIP/2.0\r\nl: 0\r\n\r\n"));
+      assertNotNull(next());
+    }
+    try (Socket more = new Socket(HOST, node.port())) {
+      assertEnded(more.getInputStream());
+    }
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+
+  @Test
+  void aHeaderBeyondItsBoundEndsTheConnection() throws IOException {
+    try (Socket tcp = new Socket(HOST, node.port())) {
+      tcp.getOutputStream().write(new byte[LIMITS.headBytes() + 10]);
+      assertEnded(tcp.getInputStream());
+    }
+  }
+
+  private static void assertEnded(InputStream in) {
+    int read;
+    try {
+      read = in.read();
+    } catch (IOException e) {
+      read = -1;
+    }
+    assertEquals(-1, read);
+  }
+
+  @Test
+  void aPortInUseIsNamedInTheError() {
+    IOException error =
+        assertThrows(
+            IOException.class, () -> new SocketNode(sockets, loop, LIMITS, HOST, node.port(), 1));
+    assertEquals(true, error.getMessage().contains(Integer.toString(node.port())));
+  }
+}
--- a/rehearsal/src/main/java/coveladder/rehearsal/Days.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Days.java
@@ -64,6 +64,8 @@
     world.at(27_000, LIST, () -> fleet.startCold(3));
     world.at(24_500, LIST, () -> world.conditions(new World.Conditions(0.2, 6, 0.02, 0.02)));
     world.at(33_000, LIST, () -> world.conditions(World.Conditions.SOUND));
+    world.at(14_700, LIST, () -> world.resetConnections("switch-2"));
+    world.at(18_000, LIST, () -> world.resetConnections("switch-6"));
     world.at(28_000, LIST, () -> world.resetConnections("controller-0"));
     world.at(31_500, LIST, () -> cutAll(fleet, 0.3));
     world.at(34_000, LIST, () -> fleet.stop(7));
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/SocketWorld.java
@@ -0,0 +1,220 @@
+package coveladder.rehearsal;
+
+import coveladder.net.EventLoop;
+import coveladder.net.SocketLimits;
+import coveladder.net.SocketNode;
+import coveladder.net.Sockets;
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import coveladder.sip.Transport;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+/** The network of one machine: every node on loopback sockets, in real time. */
+public final class SocketWorld implements World {
+  private static final String HOST = "127.0.0.1";
+  private static final int QUEUE = 200_000;
+
+  private final long origin = System.nanoTime();
+  private final long seed;
+  private final Sockets sockets;
+  private final Tap tap = new Tap();
+  private final Map<String, EventLoop> loops = new LinkedHashMap<>();
+  private final Map<String, Node> nodes = new HashMap<>();
+  private volatile Conditions conditions = Conditions.SOUND;
+  private boolean running;
+
+  /** Makes an empty network; the seed is of what nodes draw and of what befalls datagrams. */
+  public SocketWorld(long seed) throws IOException {
+    this.seed = seed;
+    this.sockets = new Sockets(2);
+  }
+
+  /** One node: its sockets between the wire and the element, with the tap on both sides. */
+  private final class Node implements SipHost, SipNode {
+    private final String name;
+    private final EventLoop loop;
+    private final SocketNode socket;
+    private final SplittableRandom fate;
+    private SipNode inner;
+
+    Node(String name, EventLoop loop) throws IOException {
+      this.name = name;
+      this.loop = loop;
+      long own = seed * 31 + name.hashCode();
+      this.fate = new SplittableRandom(own);
+      this.socket = new SocketNode(sockets, loop, SocketLimits.USUAL, HOST, 0, own + 1);
+    }
+
+    @Override
+    public double now() {
+      return loop.now();
+    }
+
+    @Override
+    public Timer after(double delay, Runnable task) {
+      return loop.after(delay, task);
+    }
+
+    @Override
+    public RandomGenerator random() {
+      return socket.random();
+    }
+
+    @Override
+    public Hop local(Transport transport) {
+      return socket.local(transport);
+    }
+
+    @Override
+    public void send(Hop to, byte[] message) {
+      tap.sent(now(), name, to, message);
+      Conditions now = conditions;
+      if (to.transport() == Transport.TCP || now == Conditions.SOUND) {
+        socket.send(to, message);
+        return;
+      }
+      int copies = fate.nextDouble() < now.lost() ? 0 : 1;
+      copies += fate.nextDouble() < now.repeated() ? 1 : 0;
+      for (int i = 0; i < copies; i++) {
+        double way = now.least() + (now.most() - now.least()) * fate.nextDouble();
+        loop.after(way, () -> socket.send(to, message));
+      }
+    }
+
+    @Override
+    public void start() {
+      inner.start();
+    }
+
+    @Override
+    public void receive(Hop from, byte[] message, double arrived) {
+      tap.read(now(), name, from, arrived, message);
+      inner.receive(from, message, arrived);
+    }
+
+    @Override
+    public void failed(Hop hop, Failure failure) {
+      tap.failed(now(), name, hop, failure);
+      inner.failed(hop, failure);
+    }
+  }
+
+  // ---- Building -----------------------------------------------------------------------------
+
+  @Override
+  public Hop place(String name) {
+    return node(name, null).local(Transport.UDP);
+  }
+
+  /** A node's address may be wanted before its crew is known: controllers are crews of one. */
+  private Node node(String name, String crew) {
+    Node held = nodes.get(name);
+    if (held == null) {
+      String own = crew != null ? crew : name.startsWith("controller-") ? name : "standins";
+      EventLoop loop = loops.computeIfAbsent(own, c -> new EventLoop("crew-" + c, origin, QUEUE));
+      try {
+        held = new Node(name, loop);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      nodes.put(name, held);
+    }
+    return held;
+  }
+
+  @Override
+  public <N extends SipNode> N add(String name, String crew, Function<SipHost, N> maker) {
+    Node node = node(name, crew);
+    N made = maker.apply(node);
+    node.inner = made;
+    node.socket.start(node);
+    return made;
+  }
+
+  // ---- Faults -------------------------------------------------------------------------------
+
+  @Override
+  public void at(double time, String name, Runnable action) {
+    EventLoop loop = nodes.get(name).loop;
+    loop.offer(() -> loop.after(time - loop.now(), action));
+  }
+
+  @Override
+  public void freeze(String name, double lasts) {
+    tap.note(now(), name, "frozen for " + lasts);
+    nodes.get(name).loop.pause(lasts);
+  }
+
+  @Override
+  public void reachable(String name, boolean on) {
+    Node node = nodes.get(name);
+    node.loop.offer(
+        () -> {
+          try {
+            node.socket.reachable(on);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
+
+  @Override
+  public void resetConnections(String name) {
+    Node node = nodes.get(name);
+    node.loop.offer(node.socket::resetConnections);
+  }
+
+  @Override
+  public void conditions(Conditions news) {
+    conditions = news;
+  }
+
+  // ---- Time ---------------------------------------------------------------------------------
+
+  @Override
+  public void run(double until, BooleanSupplier done) {
+    if (!running) {
+      running = true;
+      loops.values().forEach(EventLoop::start);
+    }
+    try {
+      while (now() < until && !done.getAsBoolean()) {
+        Thread.sleep(20);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public double now() {
+    return (System.nanoTime() - origin) / 1e6;
+  }
+
+  @Override
+  public Tap tap() {
+    return tap;
+  }
+
+  /** Tasks that the loops dropped or that threw; any is a fault of the run. */
+  public long faults() {
+    return loops.values().stream().mapToLong(loop -> loop.dropped() + loop.faults()).sum();
+  }
+
+  @Override
+  public void close() {
+    loops.values().forEach(EventLoop::close);
+    nodes.values().forEach(node -> node.socket.close());
+    sockets.close();
+  }
+}
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -17,6 +17,7 @@
 import coveladder.sip.Failure;
 import coveladder.sip.Hop;
 import coveladder.sip.NameAddr;
+import coveladder.sip.Params;
 import coveladder.sip.ServerTransaction;
 import coveladder.sip.SipHost;
 import coveladder.sip.SipNode;
@@ -28,6 +29,7 @@
 import coveladder.sip.UserAgent;
 import coveladder.sip.Via;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
@@ -43,7 +45,7 @@
   public static final String CIRCUIT_EVENT = "circuit-groups";
 
   private final SipHost host;
-  private final FrontSettings settings;
+  private FrontSettings settings;
   private final SipStack stack;
   private final CallController controller;
   private final Clockwork clock;
@@ -120,6 +122,25 @@
     return bridges.size();
   }
 
+  /**
+   * Takes new settings for calls from now on: how classes are told apart, patience, margins and the
+   * bound of calls. Places, timers and bounds of the stack stay as they were.
+   */
+  public void reload(FrontSettings news) {
+    settings =
+        new FrontSettings(
+            settings.domain(),
+            settings.ownSwitch(),
+            settings.listServer(),
+            news.classes(),
+            news.patience(),
+            news.answerMargin(),
+            news.maxCalls(),
+            news.retryAfter(),
+            settings.timing(),
+            settings.limits());
+  }
+
   /** Takes nothing new, answers each call in flight, and gives up its subscriptions. */
   public void shutDown() {
     controller.shutDown();
@@ -243,9 +264,21 @@
     int seconds = (int) Math.max(1, Math.ceil(order.within() / 1000));
     invite.add("Expires", Integer.toString(seconds));
     EndToEnd.copy(came, invite);
+    addHistory(order, came, invite);
     return invite;
   }
 
+  /** Tells the way taken, where the caller wants to know it (RFC 7044). */
+  private static void addHistory(AttemptOrder order, SipRequest came, SipRequest invite) {
+    List<String> history = came.headers("History-Info");
+    if (!history.isEmpty()) {
+      String last = history.get(history.size() - 1);
+      String index = Params.parse(last.substring(last.indexOf('>') + 1)).get("index");
+      String to = "<sip:" + order.number() + '@' + order.first().domain() + '>';
+      invite.add("History-Info", to + ";index=" + index + '.' + (order.attempt() + 1));
+    }
+  }
+
   @Override
   public void cancelAttempt(String call, int attempt) {
     bridges.get(call).cancel(attempt);
--- a/standin/src/main/java/coveladder/standin/StandinCallers.java
+++ b/standin/src/main/java/coveladder/standin/StandinCallers.java
@@ -32,8 +32,8 @@
   private final Habits habits;
   private final Consumer<Fate> fates;
   private List<CallPlan> plans = List.of();
-  private int next;
-  private int open;
+  private volatile int next;
+  private volatile int open;
 
   /**
    * How callers behave.
--- a/standin/src/main/java/coveladder/standin/StandinSwitch.java
+++ b/standin/src/main/java/coveladder/standin/StandinSwitch.java
@@ -285,6 +285,7 @@
   private void answer(CallLeg leg) {
     if (processor.up() && leg.state() == CallLeg.State.CALLING) {
       SipResponse ok = leg.response(200);
+      ok.copy("History-Info", leg.invite());
       if (leg.invite().body().length > 0) {
         ok.body("application/sdp", leg.invite().bodyText());
       }
