app: command line, KDL settings, JSON logs, metrics, orderly end

run, check, standin, call, rehearse. Settings are KDL 2 by a reader of our own, every problem with line and column and unknown names with the nearest known one. SIGTERM answers each call in flight; SIGHUP reloads what can change and names what cannot.

--- /dev/null
+++ b/app/src/main/java/coveladder/app/CallCommand.java
@@ -0,0 +1,203 @@
+package coveladder.app;
+
+import coveladder.net.EventLoop;
+import coveladder.net.SocketLimits;
+import coveladder.net.SocketNode;
+import coveladder.net.Sockets;
+import coveladder.sip.CallLeg;
+import coveladder.sip.CallListener;
+import coveladder.sip.Failure;
+import coveladder.sip.Hop;
+import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipHost;
+import coveladder.sip.SipNode;
+import coveladder.sip.SipRequest;
+import coveladder.sip.SipResponse;
+import coveladder.sip.SipStack;
+import coveladder.sip.SipUri;
+import coveladder.sip.Timing;
+import coveladder.sip.Transport;
+import coveladder.sip.UserAgent;
+import java.io.PrintWriter;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Makes one call through a running controller and prints what comes of it, hop by hop. */
+@Command(
+    name = "call",
+    description = {
+      "Make one call through a running controller and print it hop by hop.",
+      "Exit status 0 if it stood."
+    })
+final class CallCommand implements Callable<Integer> {
+  private static final String SDP =
+      "v=0\r\no=- 0 0 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\n"
+          + "m=audio 9 RTP/AVP 0\r\n";
+
+  @Spec private CommandSpec spec;
+
+  @Parameters(paramLabel = "URI", description = "who is called, such as sip:5551234@x1.example")
+  private String uri;
+
+  @Option(
+      names = "--via",
+      defaultValue = "127.0.0.1:5060",
+      paramLabel = "HOST:PORT",
+      description = "the controller (${DEFAULT-VALUE})")
+  private String via;
+
+  @Option(names = "--tcp", description = "by TCP instead of UDP")
+  private boolean tcp;
+
+  @Option(names = "--priority", defaultValue = "", description = "Resource-Priority, its class")
+  private String priority;
+
+  @Option(names = "--patience", defaultValue = "5", description = "seconds (${DEFAULT-VALUE})")
+  private int patience;
+
+  @Option(names = "--hold", defaultValue = "1", description = "seconds that it lasts")
+  private int hold;
+
+  @Override
+  public Integer call() throws Exception {
+    SipUri place = SipUri.parse("sip:" + via);
+    if (SipUri.parse(uri) == null || place == null || patience < 1 || hold < 0) {
+      spec.commandLine().getErr().println("URI is sip:number@domain, --via HOST:PORT");
+      return 2;
+    }
+    Hop controller = place.hop().by(tcp ? Transport.TCP : Transport.UDP);
+    CountDownLatch done = new CountDownLatch(1);
+    try (Sockets sockets = new Sockets(1);
+        EventLoop loop = new EventLoop("call", System.nanoTime(), 1_000);
+        SocketNode node =
+            new SocketNode(sockets, loop, SocketLimits.USUAL, "127.0.0.1", 0, System.nanoTime())) {
+      OneCall call = new OneCall(node, controller, done);
+      loop.start();
+      node.start(call);
+      boolean ended = done.await(patience + hold + 3L, TimeUnit.SECONDS);
+      return ended && call.stood ? 0 : 1;
+    }
+  }
+
+  /** The caller. */
+  private final class OneCall implements SipNode, UserAgent.Owner, CallListener {
+    private final SipHost host;
+    private final Hop controller;
+    private final CountDownLatch done;
+    private final SipStack stack;
+    private final PrintWriter out = spec.commandLine().getOut();
+    private volatile boolean stood;
+    private double begun;
+
+    OneCall(SipHost host, Hop controller, CountDownLatch done) {
+      this.host = host;
+      this.controller = controller;
+      this.done = done;
+      this.stack = new SipStack(host, Timing.STANDARD, new SipStack.Limits(128, 100), this);
+    }
+
+    private void print(String what) {
+      out.printf(Locale.ROOT, "%8.1f ms  %s%n", host.now() - begun, what);
+      out.flush();
+    }
+
+    @Override
+    public void start() {
+      begun = host.now();
+      SipRequest invite = new SipRequest("INVITE", uri);
+      invite.add("From", "<sip:call@" + host.local(controller.transport()).host() + '>');
+      invite.add("To", '<' + uri + '>');
+      invite.add("Expires", Integer.toString(patience));
+      invite.add("Supported", "histinfo");
+      invite.add("History-Info", '<' + uri + ">;index=1");
+      if (!priority.isEmpty()) {
+        invite.add("Resource-Priority", priority);
+      }
+      invite.body("application/sdp", SDP);
+      print("INVITE " + uri + " to " + controller);
+      CallLeg leg = stack.agent().call(invite, controller, this);
+      host.after(1000.0 * patience, () -> giveUp(leg));
+    }
+
+    private void giveUp(CallLeg leg) {
+      if (leg.outstanding()) {
+        print("patience is over: CANCEL");
+        leg.cancel(null);
+      }
+    }
+
+    @Override
+    public void heard(CallLeg leg, SipResponse response) {
+      print(response.startLine());
+      for (String hop : response.headers("History-Info")) {
+        print("    by way of " + hop);
+      }
+      for (String name : new String[] {"Reason", "Retry-After"}) {
+        if (response.header(name) != null) {
+          print("    " + name + ": " + response.header(name));
+        }
+      }
+    }
+
+    @Override
+    public void answered(CallLeg leg, SipResponse response) {
+      stood = true;
+      leg.ack(null);
+      host.after(1000.0 * hold, () -> hangUp(leg));
+    }
+
+    private void hangUp(CallLeg leg) {
+      print("BYE");
+      leg.bye("Q.850;cause=16");
+      host.after(200, done::countDown);
+    }
+
+    @Override
+    public void rejected(CallLeg leg, SipResponse response) {
+      done.countDown();
+    }
+
+    @Override
+    public void failed(CallLeg leg, Failure failure) {
+      print("failed: " + failure);
+      done.countDown();
+    }
+
+    @Override
+    public void ended(CallLeg leg, SipRequest bye) {
+      print("BYE from the other side " + (bye == null ? "" : bye.header("Reason", "")));
+      done.countDown();
+    }
+
+    @Override
+    public void receive(Hop from, byte[] message, double arrived) {
+      stack.receive(from, message, arrived);
+    }
+
+    @Override
+    public void failed(Hop hop, Failure failure) {
+      stack.failed(hop, failure);
+    }
+
+    @Override
+    public CallListener incoming(CallLeg leg) {
+      leg.reject(leg.response(486));
+      return null;
+    }
+
+    @Override
+    public void taken(CallLeg leg) {}
+
+    @Override
+    public void request(ServerTransaction transaction, SipRequest request) {
+      transaction.respond(request.response(481));
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/coveladder/app/LogLevel.java
@@ -0,0 +1,16 @@
+package coveladder.app;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The least level that is logged. */
+final class LogLevel {
+  private LogLevel() {}
+
+  static void set(String name) {
+    if (LoggerFactory.getLogger("coveladder") instanceof Logger logger) {
+      logger.setLevel(Level.toLevel(name));
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/coveladder/app/Main.java
@@ -0,0 +1,61 @@
+package coveladder.app;
+
+import java.io.IOException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+
+/** The program. */
+@Command(
+    name = "coveladder",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    description = "A call router over trunk groups, with a rehearsal kit.",
+    subcommands = {
+      RunCommand.class,
+      CheckCommand.class,
+      StandinCommand.class,
+      CallCommand.class,
+      RehearseCommand.class
+    })
+public final class Main implements Runnable {
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+  private Main() {}
+
+  /** Runs the program and exits with its status: 0 well, 1 failed, 2 wrongly asked. */
+  public static void main(String[] arguments) {
+    System.exit(commandLine().execute(arguments));
+  }
+
+  static CommandLine commandLine() {
+    CommandLine line = new CommandLine(new Main());
+    line.setExecutionExceptionHandler(Main::explain);
+    return line;
+  }
+
+  /** What a user did wrong is told in a line or two, not by a stack trace. */
+  private static int explain(Exception e, CommandLine line, CommandLine.ParseResult parsed)
+      throws Exception {
+    if (e instanceof SettingsFile.Unusable || e instanceof IOException) {
+      boolean missing = e instanceof java.nio.file.NoSuchFileException;
+      line.getErr().println(missing ? "no such file: " + e.getMessage() : e.getMessage());
+      return 2;
+    }
+    throw e;
+  }
+
+  @Override
+  public void run() {
+    spec.commandLine().usage(spec.commandLine().getOut());
+  }
+
+  /** The version as packaged. */
+  static final class Version implements IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"coveladder " + (version == null ? "unpackaged" : version)};
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/coveladder/app/RehearseCommand.java
@@ -0,0 +1,108 @@
+package coveladder.app;
+
+import coveladder.rehearsal.Day;
+import coveladder.rehearsal.Days;
+import coveladder.rehearsal.Rehearsal;
+import coveladder.rehearsal.SeedSweep;
+import coveladder.rehearsal.ServiceReport;
+import coveladder.rehearsal.SimWorld;
+import coveladder.rehearsal.SocketWorld;
+import coveladder.rehearsal.Tampering;
+import coveladder.rehearsal.World;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Plays a scripted day. */
+@Command(
+    name = "rehearse",
+    description = {
+      "Play a scripted day: stand-in exchanges and callers around real controllers.",
+      "Exit status 0 only if the checker finds all five rules kept and every call ended."
+    })
+final class RehearseCommand implements Callable<Integer> {
+  @Spec private CommandSpec spec;
+
+  @Parameters(
+      paramLabel = "NAME",
+      description = "a day, or 'small' with --seeds; 'list' names them all")
+  private String name;
+
+  @Option(names = "--seed", defaultValue = "1", description = "seed of the day (${DEFAULT-VALUE})")
+  private long seed;
+
+  @Option(names = "--simulated", description = "in virtual time instead of on loopback sockets")
+  private boolean simulated;
+
+  @Option(
+      names = "--seeds",
+      defaultValue = "0",
+      paramLabel = "COUNT",
+      description = "play so many seeds in virtual time, from --seed on")
+  private int seeds;
+
+  @Override
+  public Integer call() throws Exception {
+    PrintWriter out = spec.commandLine().getOut();
+    if (name.equals("list")) {
+      Days.all().values().forEach(day -> out.printf("%-14s %s%n", day.name(), day.about()));
+      return 0;
+    }
+    if (seeds > 0) {
+      return sweep(out);
+    }
+    Day day = name.equals("small") ? Days.small(seed) : Days.all().get(name);
+    if (day == null) {
+      throw new CommandLine.ParameterException(
+          spec.commandLine(),
+          "no day '" + name + "'; there are small, " + String.join(", ", Days.all().keySet()));
+    }
+    out.printf("%s (seed %d): %s%n%n", day.name(), seed, day.about());
+    out.flush();
+    return play(out, day);
+  }
+
+  private int play(PrintWriter out, Day day) throws IOException {
+    long begun = System.nanoTime();
+    try (World world = simulated ? new SimWorld(seed) : new SocketWorld(seed)) {
+      Rehearsal.Result result = Rehearsal.play(world, day, seed, Tampering.NONE);
+      out.println(new ServiceReport(result.plan(), result.fates()));
+      out.println(result.verdict());
+      int open = result.calls() - result.fates().size();
+      out.printf(
+          "%d calls, %d without an end, %d messages, %.1f s%n",
+          result.calls(), open, result.messages(), (System.nanoTime() - begun) / 1e9);
+      out.println(result.clean() ? "all rules hold" : "NOT CLEAN");
+      return result.clean() ? 0 : 1;
+    }
+  }
+
+  private int sweep(PrintWriter out) throws InterruptedException {
+    SeedSweep sweep =
+        new SeedSweep(name.equals("small") ? Days::small : s -> day(), Tampering.NONE);
+    long begun = System.nanoTime();
+    List<SeedSweep.Failing> failing =
+        sweep.play(seed, seeds, Runtime.getRuntime().availableProcessors());
+    double spent = (System.nanoTime() - begun) / 1e9;
+    failing.forEach(one -> out.printf("seed %d:%n%s%n", one.seed(), one.what()));
+    out.printf(
+        "%d seeds, %d calls, %.1f s, %.0f seeds a minute; %d failing%n",
+        sweep.played(), sweep.calls(), spent, sweep.played() * 60 / spent, failing.size());
+    return failing.isEmpty() ? 0 : 1;
+  }
+
+  private Day day() {
+    Day day = Days.all().get(name);
+    if (day == null) {
+      throw new IllegalArgumentException("no day '" + name + "'");
+    }
+    return day;
+  }
+}
--- /dev/null
+++ b/app/src/main/java/coveladder/app/StandinCommand.java
@@ -0,0 +1,163 @@
+package coveladder.app;
+
+import coveladder.net.EventLoop;
+import coveladder.net.SocketLimits;
+import coveladder.net.SocketNode;
+import coveladder.net.Sockets;
+import coveladder.rehearsal.Fleet;
+import coveladder.rehearsal.FleetPlan;
+import coveladder.sip.Hop;
+import coveladder.sip.Transport;
+import coveladder.standin.StandinList;
+import coveladder.standin.StandinSwitch;
+import coveladder.standin.SwitchPlan;
+import coveladder.standin.Trunks;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Raises stand-in switches and a list server for controllers that run elsewhere on the machine. */
+@Command(
+    name = "standin",
+    description = {
+      "Raise stand-in switches and a list server on loopback, and write settings for the",
+      "controllers that belong to them. Ends by itself after --minutes."
+    })
+final class StandinCommand implements Callable<Integer> {
+  private static final String HOST = "127.0.0.1";
+  private static final int SWITCHES = 10;
+  private static final int CONTROLLERS = 100;
+  private static final int MOST = 64;
+
+  @Spec private CommandSpec spec;
+
+  @Option(names = "--exchanges", defaultValue = "4", description = "how many, 2 to 64")
+  private int exchanges;
+
+  @Option(
+      names = "--base-port",
+      defaultValue = "15000",
+      description = "list at this port, switches from 10 above, controllers from 100 above")
+  private int basePort;
+
+  @Option(
+      names = "--settings",
+      defaultValue = "standin-settings",
+      paramLabel = "FOLDER",
+      description = "where the controllers' settings are written (${DEFAULT-VALUE})")
+  private Path folder;
+
+  @Option(names = "--minutes", defaultValue = "60", description = "ends after so long")
+  private int minutes;
+
+  @Override
+  public Integer call() throws Exception {
+    if (exchanges < 2 || exchanges > MOST) {
+      spec.commandLine().getErr().println("--exchanges is 2 to " + MOST + ", not " + exchanges);
+      return 2;
+    }
+    FleetPlan plan = FleetPlan.eight().sized(exchanges, 1);
+    PrintWriter out = spec.commandLine().getOut();
+    try (Sockets sockets = new Sockets(1);
+        EventLoop loop = new EventLoop("standins", System.nanoTime(), 100_000)) {
+      raise(sockets, loop, plan);
+      loop.start();
+      writeSettings(plan, out);
+      out.flush();
+      new CountDownLatch(1).await(minutes, TimeUnit.MINUTES);
+    }
+    return 0;
+  }
+
+  private void raise(Sockets sockets, EventLoop loop, FleetPlan plan) throws IOException {
+    Map<String, Hop> places = new HashMap<>();
+    Map<String, Integer> numbers = new HashMap<>();
+    List<StandinList.Line> lines = new ArrayList<>();
+    Trunks trunks = new Trunks();
+    for (int i = 0; i < exchanges; i++) {
+      Hop place = new Hop(Transport.UDP, HOST, basePort + SWITCHES + i);
+      places.put(Fleet.domain(i), place);
+      numbers.put(Fleet.domain(i), i);
+      String address = "sip:" + HOST + ':' + place.port();
+      String domain = Fleet.domain(i);
+      lines.add(new StandinList.Line("x" + i + "-0", i, domain, address, "in-service", -1));
+      for (int j = i + 1; j < exchanges; j++) {
+        trunks.lay(i, j, plan.trunk());
+      }
+    }
+    SocketNode listNode = node(sockets, loop, basePort);
+    StandinList list = new StandinList(listNode, plan.timing(), plan.listLateness());
+    list.enter(lines);
+    listNode.start(list);
+    for (int i = 0; i < exchanges; i++) {
+      SocketNode node = node(sockets, loop, basePort + SWITCHES + i);
+      node.start(new StandinSwitch(node, plan(plan, i, places, numbers), trunks));
+    }
+  }
+
+  private SwitchPlan plan(
+      FleetPlan plan, int number, Map<String, Hop> places, Map<String, Integer> numbers) {
+    Map<String, Integer> widths = new HashMap<>();
+    plan.kinds().forEach(kind -> widths.put(kind.priority(), kind.width()));
+    Hop controller = new Hop(Transport.UDP, HOST, basePort + CONTROLLERS + number);
+    return new SwitchPlan(
+        number,
+        Fleet.domain(number),
+        controller,
+        places,
+        numbers,
+        widths,
+        Map.of(),
+        plan.answerAfter(),
+        plan.processor(),
+        plan.timing());
+  }
+
+  private static SocketNode node(Sockets sockets, EventLoop loop, int port) throws IOException {
+    return new SocketNode(sockets, loop, SocketLimits.USUAL, HOST, port, port);
+  }
+
+  private void writeSettings(FleetPlan plan, PrintWriter out) throws IOException {
+    Files.createDirectories(folder);
+    for (int i = 0; i < exchanges; i++) {
+      Path file = folder.resolve("x" + i + ".kdl");
+      Files.writeString(file, settings(plan, i));
+      out.printf(
+          "%s: switch %d, controller %d, settings %s%n",
+          Fleet.domain(i), basePort + SWITCHES + i, basePort + CONTROLLERS + i, file);
+    }
+    out.printf("list server %d; ends after %d minutes%n", basePort, minutes);
+  }
+
+  private String settings(FleetPlan plan, int number) {
+    StringBuilder text = new StringBuilder();
+    text.append("// Settings of one controller; checked by: coveladder check FILE\n");
+    text.append("listen port=").append(basePort + CONTROLLERS + number).append('\n');
+    text.append("domain \"").append(Fleet.domain(number)).append("\"\n");
+    text.append("exchange number=").append(number).append('\n');
+    text.append("fleet controllers=").append(exchanges).append('\n');
+    text.append("switch port=").append(basePort + SWITCHES + number).append('\n');
+    text.append("list port=").append(basePort).append('\n');
+    for (FleetPlan.Kind kind : plan.kinds()) {
+      text.append("class \"").append(kind.name()).append("\" worth=").append(kind.worth());
+      text.append(" late=").append(kind.late()).append(" aim=").append(kind.aim());
+      text.append(" give-up=").append(kind.giveUp()).append(" width=").append(kind.width());
+      text.append(" hold=").append(kind.hold());
+      text.append(" priority=\"").append(kind.priority()).append('"');
+      text.append(kind == plan.kinds().get(0) ? " default=#true" : "").append('\n');
+    }
+    return text.append("seed value=").append(number + 1).append('\n').toString();
+  }
+}
--- /dev/null
+++ b/app/src/main/java/coveladder/kdl/KdlNode.java
@@ -0,0 +1,22 @@
+package coveladder.kdl;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A node: a name, arguments, properties, children.
+ *
+ * @param name its name
+ * @param arguments its arguments in order
+ * @param properties its properties; of several with one name the last counts
+ * @param children its children in order
+ * @param line line of its name, from 1
+ * @param column column of its name, from 1
+ */
+public record KdlNode(
+    String name,
+    List<KdlValue> arguments,
+    Map<String, KdlValue> properties,
+    List<KdlNode> children,
+    int line,
+    int column) {}
