--- /dev/null
+++ b/app/src/test/java/coveladder/interop/JainInteropTest.java
@@ -0,0 +1,178 @@
+package coveladder.interop;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import coveladder.app.Daemon;
+import coveladder.app.SettingsFile;
+import coveladder.net.EventLoop;
+import coveladder.net.SocketLimits;
+import coveladder.net.SocketNode;
+import coveladder.net.Sockets;
+import coveladder.rehearsal.FleetPlan;
+import coveladder.sip.Hop;
+import coveladder.sip.Transport;
+import coveladder.standin.StandinList;
+import coveladder.standin.StandinSwitch;
+import coveladder.standin.SwitchPlan;
+import coveladder.standin.Trunks;
+import java.net.DatagramSocket;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Telephones by JAIN SIP at both ends of the path: caller, controller, switch, callee. */
+class JainInteropTest {
+  private static final String HOST = "127.0.0.1";
+
+  private Sockets sockets;
+  private EventLoop loop;
+  private Daemon daemon;
+  private JainPeer caller;
+  private JainPeer callee;
+
+  private void start(String transport) throws Exception {
+    caller = new JainPeer("caller", transport);
+    callee = new JainPeer("callee", transport);
+    sockets = new Sockets(1);
+    loop = new EventLoop("standins", System.nanoTime(), 10_000);
+    SocketNode listNode = node();
+    SocketNode switchNode = node();
+    int controllerPort = freePort();
+    FleetPlan plan = FleetPlan.eight().sized(2, 1);
+    Transport by = Transport.named(transport);
+    Hop calleePlace = new Hop(by, HOST, callee.port());
+    StandinList list = new StandinList(listNode, plan.timing(), 10);
+    list.enter(List.of(line(0, switchNode.port()), line(1, callee.port())));
+    Trunks trunks = new Trunks();
+    trunks.lay(0, 1, 10);
+    SwitchPlan switchPlan =
+        new SwitchPlan(
+            0,
+            "x0.example",
+            new Hop(Transport.UDP, HOST, controllerPort),
+            Map.of("x0.example", switchNode.local(Transport.UDP), "x1.example", calleePlace),
+            Map.of("x0.example", 0, "x1.example", 1),
+            Map.of(),
+            Map.of(),
+            10,
+            plan.processor(),
+            plan.timing());
+    listNode.start(list);
+    switchNode.start(new StandinSwitch(switchNode, switchPlan, trunks));
+    loop.start();
+    daemon =
+        new Daemon(SettingsFile.read("x0.kdl", settings(controllerPort, listNode, switchNode)));
+    awaitList();
+  }
+
+  private SocketNode node() throws Exception {
+    return new SocketNode(sockets, loop, SocketLimits.USUAL, HOST, 0, 1);
+  }
+
+  private static int freePort() throws Exception {
+    try (DatagramSocket socket = new DatagramSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static StandinList.Line line(int number, int port) {
+    String domain = "x" + number + ".example";
+    return new StandinList.Line(
+        "e" + number, number, domain, "sip:" + HOST + ':' + port, "in-service", -1);
+  }
+
+  private static String settings(int port, SocketNode list, SocketNode ownSwitch) {
+    return "listen port="
+        + port
+        + "\ndomain \"x0.example\"\nexchange number=0\nfleet controllers=2\nswitch port="
+        + ownSwitch.port()
+        + "\nlist port="
+        + list.port()
+        + "\nclass \"plain\" aim=4000 give-up=9000 hold=5000 default=#true\n";
+  }
+
+  /** Calls before the first list are put off; the telephone tries until one is not. */
+  private void awaitList() throws Exception {
+    String answer;
+    callee.answers(486);
+    do {
+      caller.call("5551234", "x1.example", daemon.port());
+      answer = caller.next();
+    } while (answer.startsWith("503"));
+    while (!answer.startsWith("486")) {
+      answer = caller.next();
+    }
+    assertEquals("INVITE", callee.next());
+    callee.answers(200);
+  }
+
+  @AfterEach
+  void stop() {
+    caller.close();
+    callee.close();
+    daemon.close();
+    loop.close();
+    sockets.close();
+  }
+
+  private void standingCall() throws Exception {
+    caller.call("5551235", "x1.example", daemon.port());
+    assertEquals("INVITE", callee.next());
+    assertEquals("180 INVITE", caller.next());
+    assertEquals("200 INVITE", caller.next());
+    assertEquals("ACK", callee.next());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"udp", "tcp"})
+  void aCallReleasedByTheCaller(String transport) throws Exception {
+    start(transport);
+    standingCall();
+    caller.bye();
+    assertEquals("200 BYE", caller.next());
+    assertEquals("BYE", callee.next());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"udp", "tcp"})
+  void aCallReleasedByTheCallee(String transport) throws Exception {
+    start(transport);
+    standingCall();
+    callee.bye();
+    assertEquals("200 BYE", callee.next());
+    assertEquals("BYE", caller.next());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"udp", "tcp"})
+  void aCallCancelledWhileItRings(String transport) throws Exception {
+    start(transport);
+    callee.answers(180);
+    caller.call("5551236", "x1.example", daemon.port());
+    assertEquals("INVITE", callee.next());
+    assertEquals("180 INVITE", caller.next());
+    caller.cancel();
+    assertEquals("200 CANCEL", caller.next());
+    assertEquals("487 INVITE", caller.next());
+    assertEquals("CANCEL", callee.next());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"udp", "tcp"})
+  void aReinviteFromEitherSide(String transport) throws Exception {
+    start(transport);
+    standingCall();
+    caller.reinvite();
+    assertEquals("re-INVITE", callee.next());
+    assertEquals("200 INVITE", caller.next());
+    assertEquals("ACK", callee.next());
+    callee.reinvite();
+    assertEquals("re-INVITE", caller.next());
+    assertEquals("200 INVITE", callee.next());
+    assertEquals("ACK", caller.next());
+    caller.bye();
+    assertEquals("200 BYE", caller.next());
+  }
+}
--- /dev/null
+++ b/app/src/test/java/coveladder/interop/JainPeer.java
@@ -0,0 +1,235 @@
+package coveladder.interop;
+
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Properties;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import javax.sip.ClientTransaction;
+import javax.sip.Dialog;
+import javax.sip.DialogTerminatedEvent;
+import javax.sip.IOExceptionEvent;
+import javax.sip.RequestEvent;
+import javax.sip.ResponseEvent;
+import javax.sip.ServerTransaction;
+import javax.sip.SipException;
+import javax.sip.SipFactory;
+import javax.sip.SipListener;
+import javax.sip.SipProvider;
+import javax.sip.SipStack;
+import javax.sip.TimeoutEvent;
+import javax.sip.TransactionTerminatedEvent;
+import javax.sip.address.Address;
+import javax.sip.address.AddressFactory;
+import javax.sip.address.SipURI;
+import javax.sip.header.CSeqHeader;
+import javax.sip.header.HeaderFactory;
+import javax.sip.header.ToHeader;
+import javax.sip.header.ViaHeader;
+import javax.sip.message.MessageFactory;
+import javax.sip.message.Request;
+import javax.sip.message.Response;
+
+/**
+ * A SIP telephone on the JAIN SIP reference implementation: a peer that the project did not write.
+ */
+final class JainPeer implements SipListener, AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final String SDP = "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\ns=-\r\nt=0 0\r\n";
+
+  private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+  private final SipStack stack;
+  private final SipProvider provider;
+  private final AddressFactory addresses;
+  private final HeaderFactory headers;
+  private final MessageFactory messages;
+  private final String transport;
+  private final int port;
+  private volatile ClientTransaction invite;
+  private volatile Dialog dialog;
+  private volatile ServerTransaction taken;
+  private volatile int answer = 200;
+
+  /** Starts a telephone on any free port. */
+  JainPeer(String name, String transport) throws Exception {
+    this.transport = transport;
+    this.port = freePort();
+    SipFactory factory = SipFactory.getInstance();
+    factory.setPathName("gov.nist");
+    Properties properties = new Properties();
+    properties.setProperty("javax.sip.STACK_NAME", name + port);
+    properties.setProperty("gov.nist.javax.sip.TRACE_LEVEL", "0");
+    stack = factory.createSipStack(properties);
+    addresses = factory.createAddressFactory();
+    headers = factory.createHeaderFactory();
+    messages = factory.createMessageFactory();
+    provider = stack.createSipProvider(stack.createListeningPoint(HOST, port, transport));
+    provider.addSipListener(this);
+  }
+
+  private static int freePort() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  int port() {
+    return port;
+  }
+
+  /** The status with which it answers INVITEs; 180 rings and answers no more. */
+  void answers(int status) {
+    answer = status;
+  }
+
+  /** The next thing that happened. */
+  String next() throws InterruptedException {
+    return events.poll(10, TimeUnit.SECONDS);
+  }
+
+  // ---- As caller ----------------------------------------------------------------------------
+
+  void call(String number, String domain, int controllerPort) throws Exception {
+    SipURI uri = addresses.createSipURI(number, domain);
+    Address from = addresses.createAddress(addresses.createSipURI("jain", HOST));
+    List<ViaHeader> vias = new ArrayList<>();
+    vias.add(headers.createViaHeader(HOST, port, transport, null));
+    Request request =
+        messages.createRequest(
+            uri,
+            Request.INVITE,
+            provider.getNewCallId(),
+            headers.createCSeqHeader(1L, Request.INVITE),
+            headers.createFromHeader(from, "j" + System.nanoTime()),
+            headers.createToHeader(addresses.createAddress(uri), null),
+            vias,
+            headers.createMaxForwardsHeader(70));
+    SipURI route = addresses.createSipURI(null, HOST);
+    route.setPort(controllerPort);
+    route.setTransportParam(transport);
+    route.setLrParam();
+    request.addHeader(headers.createRouteHeader(addresses.createAddress(route)));
+    request.addHeader(headers.createContactHeader(addresses.createAddress(contact())));
+    request.addHeader(headers.createExpiresHeader(8));
+    request.setContent(SDP, headers.createContentTypeHeader("application", "sdp"));
+    invite = provider.getNewClientTransaction(request);
+    dialog = invite.getDialog();
+    invite.sendRequest();
+  }
+
+  private SipURI contact() throws Exception {
+    SipURI contact = addresses.createSipURI("jain", HOST);
+    contact.setPort(port);
+    contact.setTransportParam(transport);
+    return contact;
+  }
+
+  void cancel() throws SipException {
+    provider.getNewClientTransaction(invite.createCancel()).sendRequest();
+  }
+
+  // ---- Within a call ------------------------------------------------------------------------
+
+  void bye() throws SipException {
+    Request bye = dialog.createRequest(Request.BYE);
+    dialog.sendRequest(provider.getNewClientTransaction(bye));
+  }
+
+  void reinvite() throws Exception {
+    Request again = dialog.createRequest(Request.INVITE);
+    again.setContent(SDP, headers.createContentTypeHeader("application", "sdp"));
+    dialog.sendRequest(provider.getNewClientTransaction(again));
+  }
+
+  @Override
+  public void processResponse(ResponseEvent event) {
+    Response response = event.getResponse();
+    CSeqHeader sequence = (CSeqHeader) response.getHeader(CSeqHeader.NAME);
+    try {
+      if (response.getStatusCode() == 200 && sequence.getMethod().equals(Request.INVITE)) {
+        dialog = event.getDialog();
+        dialog.sendAck(dialog.createAck(sequence.getSeqNumber()));
+      }
+      if (response.getStatusCode() > 100) {
+        events.add(response.getStatusCode() + " " + sequence.getMethod());
+      }
+    } catch (Exception e) {
+      events.add("failed " + e);
+    }
+  }
+
+  @Override
+  public void processRequest(RequestEvent event) {
+    Request request = event.getRequest();
+    try {
+      switch (request.getMethod()) {
+        case Request.INVITE -> invited(event);
+        case Request.CANCEL -> cancelled(event);
+        case Request.BYE -> event.getServerTransaction().sendResponse(respond(request, 200));
+        default -> {}
+      }
+      if (!request.getMethod().equals(Request.INVITE)) {
+        events.add(request.getMethod());
+      }
+    } catch (Exception e) {
+      events.add("failed " + e);
+    }
+  }
+
+  private void invited(RequestEvent event) throws Exception {
+    Request request = event.getRequest();
+    boolean again = event.getServerTransaction() != null;
+    taken = again ? event.getServerTransaction() : provider.getNewServerTransaction(request);
+    dialog = taken.getDialog();
+    events.add(again ? "re-INVITE" : "INVITE");
+    if (!again) {
+      taken.sendResponse(respond(request, 180));
+    }
+    if (answer != 180) {
+      taken.sendResponse(respond(request, answer));
+    }
+  }
+
+  private Response respond(Request request, int status) throws Exception {
+    Response response = messages.createResponse(status, request);
+    ToHeader to = (ToHeader) response.getHeader(ToHeader.NAME);
+    if (to.getTag() == null) {
+      to.setTag("callee" + port);
+    }
+    if (request.getMethod().equals(Request.INVITE) && status < 300) {
+      response.addHeader(headers.createContactHeader(addresses.createAddress(contact())));
+      if (status == 200) {
+        response.setContent(SDP, headers.createContentTypeHeader("application", "sdp"));
+      }
+    }
+    return response;
+  }
+
+  private void cancelled(RequestEvent event) throws Exception {
+    event.getServerTransaction().sendResponse(respond(event.getRequest(), 200));
+    taken.sendResponse(respond(taken.getRequest(), 487));
+  }
+
+  @Override
+  public void processTimeout(TimeoutEvent event) {
+    events.add("timeout");
+  }
+
+  @Override
+  public void processIOException(IOExceptionEvent event) {
+    events.add("io");
+  }
+
+  @Override
+  public void processTransactionTerminated(TransactionTerminatedEvent event) {}
+
+  @Override
+  public void processDialogTerminated(DialogTerminatedEvent event) {}
+
+  @Override
+  public void close() {
+    stack.stop();
+  }
+}
--- /dev/null
+++ b/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
@@ -0,0 +1,156 @@
+package coveladder.rehearsal;
+
+import coveladder.CallPolicy.State;
+import coveladder.core.CallController;
+import coveladder.core.ExchangeList;
+import coveladder.sip.Hop;
+import coveladder.sip.SipStack;
+import coveladder.sip.Timing;
+import coveladder.sip.Transport;
+import coveladder.sipfront.ClassTable;
+import coveladder.sipfront.FrontSettings;
+import coveladder.sipfront.SipFront;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One real controller between a caller and a switch that a test plays by hand. */
+final class ControllerBed {
+  static final String TCP = "TCP";
+
+  final SimWorld world = new SimWorld(5);
+  final RawNode caller = world.add("caller", "x", RawNode::new);
+  final RawNode ownSwitch = world.add("switch", "x", RawNode::new);
+  final RawNode listServer = world.add("list", "x", RawNode::new);
+  final Hop place;
+  final SipFront front;
+  private final Transport toSwitch;
+
+  ControllerBed(Transport toSwitch) {
+    this.toSwitch = toSwitch;
+    place = world.place("controller");
+    world.conditions(new World.Conditions(1, 1, 0, 0));
+    FleetPlan plan = FleetPlan.eight().sized(4, 1);
+    FrontSettings settings =
+        new FrontSettings(
+            "x0.example",
+            world.place("switch").by(toSwitch),
+            world.place("list"),
+            new ClassTable(
+                List.of("a", "b", "c"), List.of("cove.0", "cove.1", "cove.2"), List.of(), 0),
+            5_000,
+            20,
+            50,
+            1,
+            Timing.STANDARD,
+            SipStack.Limits.USUAL);
+    front =
+        world.add(
+            "controller",
+            "x",
+            host ->
+                new SipFront(
+                    host,
+                    settings,
+                    plan.rules(0),
+                    Tampering.NONE.guard().get(),
+                    CallController.Journal.NONE,
+                    Tampering.NONE.maker(plan.rules(0), 3)));
+    run(50);
+    tellList();
+  }
+
+  private void tellList() {
+    List<ExchangeList.Entry> entries = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      String domain = "x" + i + ".example";
+      String address = "sip:10.9.9." + i + ":5060";
+      entries.add(new ExchangeList.Entry("e" + i, i, domain, address, State.IN_SERVICE, 0));
+    }
+    front.controller().listNews(new ExchangeList.News(true, 0, 1, entries));
+    for (int i = 1; i < 4; i++) {
+      front.controller().circuits(i, 20, 20, 1);
+    }
+  }
+
+  void run(double lasts) {
+    world.run(world.now() + lasts, () -> false);
+  }
+
+  /** Sends the text of an INVITE from the caller by UDP; returns it. */
+  String invite(String callId, int seconds) {
+    String text =
+        "INVITE sip:5551234@x1.example SIP/2.0\r\nVia: SIP/2.0/UDP "
+            + caller.host.local(Transport.UDP).host()
+            + ":5060;branch=z9hG4bK"
+            + callId
+            + "\r\nMax-Forwards: 70\r\nFrom: <sip:m@h>;tag=m\r\nTo: <sip:5551234@x1.example>\r\n"
+            + "Call-ID: "
+            + callId
+            + "\r\nCSeq: 1 INVITE\r\nContact: <sip:"
+            + caller.host.local(Transport.UDP).host()
+            + ":5060>\r\nExpires: "
+            + seconds
+            + "\r\nSession-ID: s"
+            + callId
+            + "\r\nContent-Type: application/sdp\r\nContent-Length: 2\r\n\r\nv0";
+    caller.send(place, text);
+    return text;
+  }
+
+  /** A request of the caller within its call, or the CANCEL of it. */
+  void fromCaller(String method, String callId, int number, String toTag) {
+    String to = "To: <sip:5551234@x1.example>" + (toTag.isEmpty() ? "" : ";tag=" + toTag);
+    String branch = method.equals("CANCEL") ? callId : callId + method + number;
+    caller.send(
+        place,
+        method
+            + " sip:5551234@x1.example SIP/2.0\r\nVia: SIP/2.0/UDP "
+            + caller.host.local(Transport.UDP).host()
+            + ":5060;branch=z9hG4bK"
+            + branch
+            + "\r\nMax-Forwards: 70\r\nFrom: <sip:m@h>;tag=m\r\n"
+            + to
+            + "\r\nCall-ID: "
+            + callId
+            + "\r\nCSeq: "
+            + number
+            + ' '
+            + method
+            + "\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  /** INVITEs of attempts that the switch read, repeats left out. */
+  List<RawNode.Read> attempts() {
+    List<String> seen = new ArrayList<>();
+    List<RawNode.Read> found = new ArrayList<>();
+    for (RawNode.Read read : ownSwitch.all("INVITE")) {
+      if (!seen.contains(read.field("Call-ID"))) {
+        seen.add(read.field("Call-ID"));
+        found.add(read);
+      }
+    }
+    return found;
+  }
+
+  /** Final answers to the caller's INVITE, repeats left out. */
+  List<String> finals() {
+    return caller.reads.stream()
+        .filter(r -> r.begins("SIP/2.0 ") && !r.begins("SIP/2.0 1"))
+        .filter(r -> r.field("CSeq").endsWith(" INVITE"))
+        .map(r -> r.text().substring(8, 11))
+        .distinct()
+        .toList();
+  }
+
+  String callerTag() {
+    return caller.last("SIP/2.0").field("To").replaceAll(".*;tag=", "");
+  }
+
+  /** Answers an attempt with 200 and lets the caller acknowledge it. */
+  void stand(RawNode.Read attempt, String callId) {
+    ownSwitch.answer(attempt, "200 OK", "far", "");
+    run(10);
+    fromCaller("ACK", callId, 1, callerTag());
+    run(10);
+  }
+}
--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -372,9 +372,9 @@
     if (request.is("BYE")) {
       transaction.respond(request.response(200));
       theyLeft(request);
-    } else if (request.is("INVITE") && (ownReinvite || theirReinvite)) {
-      transaction.respond(request.response(ownReinvite ? 491 : 500));
-    } else if (request.is("INVITE") && state != State.CONFIRMED) {
+    } else if (request.is("INVITE") && (ownReinvite || state == State.ANSWERED)) {
+      transaction.respond(request.response(491));
+    } else if (request.is("INVITE") && (theirReinvite || state != State.CONFIRMED)) {
       SipResponse wait = request.response(500);
       wait.add("Retry-After", "1");
       transaction.respond(wait);
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -175,6 +175,11 @@
       leg.reject(FinalResponses.unavailable(leg, ReasonField.CONGESTION, false, wait));
       return null;
     }
+    if (patience(leg) <= 0) {
+      // It waited here unread until its caller's time was up: no attempt may leave for it.
+      leg.reject(leg.response(408));
+      return null;
+    }
     if (uri.user().isEmpty() || destination < 0) {
       leg.reject(leg.response(uri.user().isEmpty() ? 484 : 404));
       return null;
