--- a/sip/src/main/java/coveladder/sip/HeaderNames.java
+++ b/sip/src/main/java/coveladder/sip/HeaderNames.java
@@ -103,11 +103,13 @@
 
   /** The full name in its one spelling; names that are not known stay as written. */
   static String canonical(String written) {
-    String name = KNOWN.get(written);
-    if (name != null) {
-      return name;
-    }
-    name = KNOWN.get(written.toLowerCase(Locale.ROOT));
+    String name = known(written);
     return name == null ? written : name;
   }
+
+  /** The one object for a known name, however it is spelt; null for a name that is not known. */
+  static String known(String written) {
+    String name = KNOWN.get(written);
+    return name != null ? name : KNOWN.get(written.toLowerCase(Locale.ROOT));
+  }
 }
--- a/sip/src/main/java/coveladder/sip/MessageCheck.java
+++ b/sip/src/main/java/coveladder/sip/MessageCheck.java
@@ -45,11 +45,10 @@
     if (message.cseq() == null) {
       return "CSeq missing or not a number below 2^31 with a method";
     }
-    NameAddr from = message.address("From");
-    if (from == null) {
+    if (message.from() == null) {
       return "From missing or no address";
     }
-    return message.address("To") == null ? "To missing or no address" : null;
+    return message.to() == null ? "To missing or no address" : null;
   }
 
   private static String request(SipRequest request) {
--- a/sip/src/main/java/coveladder/sip/SipMessage.java
+++ b/sip/src/main/java/coveladder/sip/SipMessage.java
@@ -16,6 +16,10 @@
   private final List<String> names = new ArrayList<>(16);
   private final List<String> values = new ArrayList<>(16);
   private byte[] body = NO_BODY;
+  private Via topVia;
+  private CSeq cseq;
+  private NameAddr from;
+  private NameAddr to;
 
   /** The first line, without its end. */
   public abstract String startLine();
@@ -35,16 +39,26 @@
     return values.get(at);
   }
 
-  private int find(String name, int from) {
-    for (int i = from; i < names.size(); i++) {
+  /** Known names are held in one spelling, each one object, so that these compare at once. */
+  private int find(String name, int start) {
+    String known = HeaderNames.known(name);
+    for (int i = start; i < names.size(); i++) {
       String held = names.get(i);
-      if (held == name || held.equalsIgnoreCase(name)) {
+      if (known != null ? held == known : held.equalsIgnoreCase(name)) {
         return i;
       }
     }
     return -1;
   }
 
+  /** What was read out of the fields holds no longer. */
+  private void changed() {
+    topVia = null;
+    cseq = null;
+    from = null;
+    to = null;
+  }
+
   /** The first field of that name, as written; null if there is none. */
   public String header(String name) {
     int at = find(name, 0);
@@ -77,18 +91,21 @@
 
   /** Appends a field. */
   public void add(String name, String value) {
+    changed();
     names.add(HeaderNames.canonical(name));
     values.add(value);
   }
 
   /** Puts a field before all others of any name. */
   public void addFirst(String name, String value) {
+    changed();
     names.add(0, HeaderNames.canonical(name));
     values.add(0, value);
   }
 
   /** Replaces all fields of that name by one. */
   public void set(String name, String value) {
+    changed();
     int at = find(name, 0);
     if (at < 0) {
       add(name, value);
@@ -103,6 +120,7 @@
 
   /** Takes all fields of that name away. */
   public void remove(String name) {
+    changed();
     for (int i = find(name, 0); i >= 0; i = find(name, i)) {
       names.remove(i);
       values.remove(i);
@@ -111,6 +129,7 @@
 
   /** Takes the first value of a field away, whether it shares its line or not; returns it. */
   public String removeFirst(String name) {
+    changed();
     int at = find(name, 0);
     if (at < 0) {
       return null;
@@ -128,6 +147,7 @@
 
   /** Replaces the topmost Via by another. */
   public void topVia(Via via) {
+    changed();
     int at = find("Via", 0);
     String line = values.get(at);
     int comma = Scan.find(line, ',', 0);
@@ -135,12 +155,11 @@
   }
 
   /** Copies all fields of that name from another message, behind those held. */
-  public void copy(String name, SipMessage from) {
-    for (int i = 0; i < from.size(); i++) {
-      if (from.name(i).equalsIgnoreCase(name)) {
-        names.add(from.names.get(i));
-        values.add(from.values.get(i));
-      }
+  public void copy(String name, SipMessage other) {
+    changed();
+    for (int i = other.find(name, 0); i >= 0; i = other.find(name, i + 1)) {
+      names.add(other.names.get(i));
+      values.add(other.values.get(i));
     }
   }
 
@@ -167,14 +186,20 @@
 
   /** The topmost Via; null if it cannot be read. */
   public Via via() {
-    String line = header("Via");
-    return line == null ? null : Via.parse(line.substring(0, Scan.find(line, ',', 0)));
+    String line = topVia == null ? header("Via") : null;
+    if (line != null) {
+      topVia = Via.parse(line.substring(0, Scan.find(line, ',', 0)));
+    }
+    return topVia;
   }
 
   /** The sequence number and method; null if they cannot be read. */
   public CSeq cseq() {
-    String line = header("CSeq");
-    return line == null ? null : CSeq.parse(line);
+    String line = cseq == null ? header("CSeq") : null;
+    if (line != null) {
+      cseq = CSeq.parse(line);
+    }
+    return cseq;
   }
 
   /** An address; null if it is missing or cannot be read. */
@@ -188,18 +213,31 @@
     return header("Call-ID");
   }
 
+  /** The From address; null if it is missing or cannot be read. */
+  public NameAddr from() {
+    if (from == null) {
+      from = address("From");
+    }
+    return from;
+  }
+
+  /** The To address; null if it is missing or cannot be read. */
+  public NameAddr to() {
+    if (to == null) {
+      to = address("To");
+    }
+    return to;
+  }
+
   /** Tag of From; null if there is none. */
   public String fromTag() {
-    return tag("From");
+    NameAddr address = from();
+    return address == null ? null : address.tag();
   }
 
   /** Tag of To; null if there is none. */
   public String toTag() {
-    return tag("To");
-  }
-
-  private String tag(String name) {
-    NameAddr address = address(name);
+    NameAddr address = to();
     return address == null ? null : address.tag();
   }
 
