sip: a call that stands keeps its dialog only, once no repeat can come; ended INVITEs by digest

What a standing call costs in memory is what a controller can hold: after 64*T1 a leg drops its INVITE, transactions and answers, and long-ended INVITEs are remembered by eight salted octets each.

--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -23,7 +23,7 @@
 
   private final UserAgent agent;
   private final boolean caller;
-  private final SipRequest invite;
+  private SipRequest invite;
   private final CallListener listener;
   private final String localTag;
   private State state = State.CALLING;
@@ -37,7 +37,8 @@
   private double gap;
   private boolean ownReinvite;
   private boolean theirReinvite;
-  private boolean reackOwed;
+  private ReinviteAnswers reackOwed;
+  private Hop place;
   private ReinviteOk reinviteOk;
 
   /** Makes the caller's side; the INVITE leaves by {@link #start}. */
@@ -59,7 +60,7 @@
     this.localTag = agent.newTag();
   }
 
-  /** The INVITE that began it. */
+  /** The INVITE that began it; null once a call stands for so long that no repeat can come. */
   public SipRequest invite() {
     return invite;
   }
@@ -71,9 +72,29 @@
 
   /** Where the INVITE went or came from. */
   public Hop hop() {
+    if (place != null) {
+      return place;
+    }
     return caller ? client.hop() : server.source();
   }
 
+  /**
+   * Once the INVITE's transaction is over nothing can ask for what it said: a call that stands for
+   * long keeps its dialog only.
+   */
+  private void settle() {
+    if (state == State.CONFIRMED) {
+      place = hop();
+      invite = null;
+      client = null;
+      server = null;
+      ack = null;
+      ok = null;
+      repeat = null;
+      give = null;
+    }
+  }
+
   /** Own Contact on this leg. */
   public String contact() {
     return agent.contact(hop());
@@ -117,6 +138,11 @@
         listener.failed(CallLeg.this, failure);
       }
     }
+
+    @Override
+    public void over() {
+      settle();
+    }
   }
 
   private void provisional(SipResponse response) {
@@ -220,6 +246,7 @@
       ok = response;
       agent.answered(server);
       gap = agent.timing().t1();
+      server.whenOver(this::settle);
       server.respond(response);
       repeat = agent.after(gap, this::repeatOk);
       give = agent.after(agent.timing().life(), this::neverAcknowledged);
@@ -305,6 +332,7 @@
     private final SipRequest sent;
     private final ClientTransaction.Listener answers;
     private boolean answered;
+    private SipRequest ownAck;
 
     ReinviteAnswers(SipRequest sent, ClientTransaction.Listener answers) {
       this.sent = sent;
@@ -322,9 +350,9 @@
       if (response.success()) {
         dialog.refresh(response);
         answered = true;
-        ack = dialog.ack(sent.cseq().number());
+        ownAck = dialog.ack(sent.cseq().number());
         boolean offered = sent.body().length == 0 && response.body().length > 0;
-        reackOwed = offered;
+        reackOwed = offered ? this : null;
         if (!offered) {
           acknowledge();
         }
@@ -334,7 +362,9 @@
     }
 
     private void acknowledge() {
-      agent.sendAgain(ack, dialog.hop());
+      if (reackOwed != this) {
+        agent.sendAgain(ownAck, dialog.hop());
+      }
     }
 
     @Override
@@ -346,10 +376,11 @@
 
   /** Acknowledges a re-INVITE whose 2xx held the offer, with the answer to it. */
   public void reack(SipMessage from) {
-    if (reackOwed) {
-      reackOwed = false;
-      copyBody(from, ack);
-      agent.sendAck(ack, dialog.hop());
+    if (reackOwed != null) {
+      ReinviteAnswers owed = reackOwed;
+      reackOwed = null;
+      copyBody(from, owed.ownAck);
+      owed.acknowledge();
     }
   }
 
--- a/sip/src/main/java/coveladder/sip/ClientTransaction.java
+++ b/sip/src/main/java/coveladder/sip/ClientTransaction.java
@@ -36,6 +36,9 @@
 
     /** No final answer will come. */
     void failed(Failure failure);
+
+    /** The transaction is over: repeats of its answers are no longer taken. */
+    default void over() {}
   }
 
   /** The request as it was sent. */
@@ -112,6 +115,10 @@
     listener.failed(failure);
   }
 
+  void tellOver() {
+    listener.over();
+  }
+
   static void stop(SipHost.Timer timer) {
     if (timer != null) {
       timer.cancel();
--- a/sip/src/main/java/coveladder/sip/Dialog.java
+++ b/sip/src/main/java/coveladder/sip/Dialog.java
@@ -27,7 +27,7 @@
     this.remote = remote;
     this.localTag = NameAddr.parse(local).tag();
     this.remoteTag = NameAddr.parse(remote).tag();
-    this.routes = routes;
+    this.routes = List.copyOf(routes);
     this.contact = contact;
   }
 
--- a/sip/src/main/java/coveladder/sip/ServerTransaction.java
+++ b/sip/src/main/java/coveladder/sip/ServerTransaction.java
@@ -10,6 +10,7 @@
   private final double arrived;
   private Hop hop;
   private byte[] last;
+  private Runnable whenOver;
 
   ServerTransaction(TransactionLayer layer, SipRequest request, Hop source, double arrived) {
     this.layer = layer;
@@ -31,6 +32,17 @@
     return source;
   }
 
+  /** Runs a task once the transaction is over. */
+  void whenOver(Runnable task) {
+    whenOver = task;
+  }
+
+  void tellOver() {
+    if (whenOver != null) {
+      whenOver.run();
+    }
+  }
+
   /** Clock of the request's arrival at this machine, ms. */
   public double arrived() {
     return arrived;
--- a/sip/src/main/java/coveladder/sip/TransactionLayer.java
+++ b/sip/src/main/java/coveladder/sip/TransactionLayer.java
@@ -26,7 +26,8 @@
   private final Map<String, ServerTransaction> servers = new HashMap<>();
   private final Map<Hop, Set<ServerTransaction>> serversByConnection = new HashMap<>();
   private final Map<String, String> initial = new HashMap<>();
-  private final Map<String, Boolean> past;
+  private final Map<Long, Boolean> past;
+  private final long salt;
   private long branches;
   private boolean overloadControl;
   private Supplier<OverloadControl> ownLoad = () -> null;
@@ -44,10 +45,11 @@
     this.most = most;
     this.user = user;
     this.past = new Remembered(most);
+    this.salt = host.random().nextLong();
   }
 
   /** The latest keys of ended INVITEs; the oldest goes where there are too many. */
-  private static final class Remembered extends LinkedHashMap<String, Boolean> {
+  private static final class Remembered extends LinkedHashMap<Long, Boolean> {
     private static final long serialVersionUID = 1L;
     private final int most;
 
@@ -56,7 +58,7 @@
     }
 
     @Override
-    protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+    protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
       return size() > most;
     }
   }
@@ -148,6 +150,7 @@
   void over(ClientTransaction transaction) {
     clients.remove(transaction.key(), transaction);
     unlink(transaction);
+    transaction.tellOver();
   }
 
   /** Forgets that a transaction hangs on a connection. */
@@ -211,12 +214,12 @@
     ServerTransaction known = servers.get(key);
     if (request.is("ACK")) {
       boolean taken = known instanceof InviteServerTransaction invite && invite.acknowledged();
-      if (!taken && !past.containsKey(key)) {
+      if (!taken && !past.containsKey(digest(key))) {
         user.ack(request);
       }
     } else if (known != null) {
       known.repeated();
-    } else if (!past.containsKey(key)) {
+    } else if (!past.containsKey(digest(key))) {
       begin(key, from, request);
     }
   }
@@ -302,6 +305,16 @@
         + method;
   }
 
+  /** A key in eight octets, salted so that nobody can make two alike. */
+  private long digest(String key) {
+    long digest = salt;
+    for (int i = 0; i < key.length(); i++) {
+      digest = (digest ^ key.charAt(i)) * 0x9e3779b97f4a7c15L;
+      digest ^= digest >>> 29;
+    }
+    return digest;
+  }
+
   private static String mergeKey(SipRequest request) {
     return request.callId() + ' ' + request.fromTag() + ' ' + request.cseq();
   }
@@ -315,8 +328,9 @@
       initial.remove(mergeKey(request), key);
     }
     if (request.is("INVITE")) {
-      past.put(key, true);
+      past.put(digest(key), true);
     }
+    transaction.tellOver();
   }
 
   // ---- Transport errors ---------------------------------------------------------------------
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -201,6 +201,7 @@
     if (given.kind() == FinalAnswer.Kind.STANDS) {
       caller.accept(response);
       watchSession(answer);
+      answer = null;
     } else {
       caller.reject(response);
     }
