--- a/rehearsal/src/test/java/coveladder/rehearsal/SeedSweepTest.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/SeedSweepTest.java
@@ -1,9 +1,12 @@
 package coveladder.rehearsal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Some hundreds of seeds of the small bad day in virtual time; thousands are the kit's matter. */
 class SeedSweepTest {
@@ -15,4 +18,18 @@
     assertEquals(List.of(), sweep.play(1, 300, threads));
     assertEquals(300, sweep.played());
   }
+
+  /**
+   * Seeds that failed once. All of the first 10,000 that did had a controller stand still over the
+   * end of a caller's patience, which the checker took for one that runs.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      longs = {1371, 3143, 5193, 5195, 5509, 6127, 6990, 7253, 7425, 7506, 8866, 9316, 9355, 9689})
+  void seedsThatFailedOnce(long seed) {
+    try (World world = new SimWorld(seed)) {
+      Rehearsal.Result result = Rehearsal.play(world, Days.small(seed), seed, Tampering.NONE);
+      assertTrue(result.clean(), result.verdict().toString());
+    }
+  }
 }
