--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -962,7 +962,9 @@
       double capacity = WORK_PER_CALL * ownRate * settings.coldFrom() * settings.fall();
       double share = settings.fallMultiple() * capacity / settings.instances();
       double window = settings.fall() / Math.max(0.1, Math.min(1, share));
-      sends.removeIf(at -> at < now - window);
+      while (!sends.isEmpty() && sends.peek() < now - window) {
+        sends.poll();
+      }
       boolean cold = current.started() > 0 && now < current.started() + settings.ramp();
       boolean phase = share >= 1 || now >= since + phaseOf * window;
       return !cold || phase && sends.size() + 1 <= Math.max(1, share);
--- a/sip/src/main/java/coveladder/sip/Scan.java
+++ b/sip/src/main/java/coveladder/sip/Scan.java
@@ -5,6 +5,8 @@
 
 /** Walks over header values with an eye on quoted strings and angle brackets. */
 final class Scan {
+  private static final boolean[] TOKEN = tokenSigns();
+
   private Scan() {}
 
   /**
@@ -89,11 +91,19 @@
   static boolean token(String text) {
     for (int i = 0; i < text.length(); i++) {
       char c = text.charAt(i);
-      boolean letter = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
-      if (!letter && "-.!%*_+`'~".indexOf(c) < 0) {
+      if (c >= TOKEN.length || !TOKEN[c]) {
         return false;
       }
     }
     return !text.isEmpty();
   }
+
+  private static boolean[] tokenSigns() {
+    boolean[] signs = new boolean[128];
+    for (char c = 0; c < signs.length; c++) {
+      boolean letter = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
+      signs[c] = letter || "-.!%*_+`'~".indexOf(c) >= 0;
+    }
+    return signs;
+  }
 }
