core/recovery: what is kept of a call and when, and how a start goes on from it

A controller that is killed must keep what stands and end what it cannot know, and break no rule on the way. WriteAhead stands between core and front: a set-up leaves, and a final answer is given, only once its record is safe; a failing disk stops no call. A CANCEL that crosses our 2xx while that waits for the disk releases the call.

--- a/core/src/main/java/coveladder/core/CallController.java
+++ b/core/src/main/java/coveladder/core/CallController.java
@@ -58,6 +58,9 @@
 
     /** The caller left before it. */
     default void callerLeft(HeldCall call, double after) {}
+
+    /** Nothing is left of the call here. */
+    default void ended(HeldCall call) {}
   }
 
   /**
@@ -158,9 +161,27 @@
     }
   }
 
+  /**
+   * Holds a call again that stood before a restart. The policy, which begins anew, is not told: the
+   * circuits that it holds are in the switch's reports.
+   */
+  public void resume(Call call, int attempt, String exchange) {
+    ExchangeList.Entry first =
+        new ExchangeList.Entry(exchange, -1, "", "", CallPolicy.State.IN_SERVICE, 0);
+    HeldCall held = new HeldCall(call, clock.now());
+    held.resume(new HeldCall.Attempt(attempt, first, clock.now()));
+    if (calls.putIfAbsent(call.id(), held) != null) {
+      throw new IllegalArgumentException("call " + call.id() + " is held already");
+    }
+  }
+
   /** The caller called off before the final answer; the front has answered it. */
   public void callerLeft(String id) {
     HeldCall held = calls.get(id);
+    if (held != null && held.standing()) {
+      // Its CANCEL crossed our 2xx while that waited to be kept: the call is released instead.
+      callerReleased(id);
+    }
     if (held != null && !held.answered()) {
       held.answer(false);
       journal.callerLeft(held, clock.now() - held.taken());
@@ -199,8 +220,8 @@
   }
 
   private void letGo(HeldCall held) {
-    if (held.answered() && held.current() == null) {
-      calls.remove(held.call().id());
+    if (held.answered() && held.current() == null && calls.remove(held.call().id()) != null) {
+      journal.ended(held);
     }
   }
 
--- a/core/src/main/java/coveladder/core/HeldCall.java
+++ b/core/src/main/java/coveladder/core/HeldCall.java
@@ -56,6 +56,11 @@
     return call;
   }
 
+  /** What is left of the caller's patience, ms. */
+  public double patienceLeft(double now) {
+    return Math.max(0, taken + call.patience() - now);
+  }
+
   /** Clock when it was taken, ms. */
   public double taken() {
     return taken;
@@ -113,6 +118,14 @@
     }
   }
 
+  /** Holds a call again that stood before a restart, with the attempt that it stands by. */
+  void resume(Attempt stands) {
+    attempts = stands.number + 1;
+    current = stands;
+    answered = true;
+    standing = true;
+  }
+
   void deadline(Clockwork.Stop timer) {
     deadline = timer;
   }
--- /dev/null
+++ b/core/src/main/java/coveladder/core/recovery/CallStore.java
@@ -0,0 +1,34 @@
+package coveladder.core.recovery;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Where calls are kept. Changes take effect in their order; what was put is safe from a crash only
+ * once a sync that was asked for later has ended well.
+ */
+public interface CallStore {
+
+  /** Keeps a call, in place of what was kept under its id. */
+  void put(SavedCall call);
+
+  /** Forgets a call. */
+  void remove(String id);
+
+  /**
+   * Tells, on the controller's thread and never within this call, once all changes so far are safe;
+   * false where the disk failed and they may not be.
+   */
+  void sync(Consumer<Boolean> done);
+
+  /** What was found when the store was opened. */
+  Found found();
+
+  /**
+   * What a store held at its opening.
+   *
+   * @param calls calls that could be read
+   * @param damaged what could not, each with its reason; it was set aside
+   */
+  record Found(List<SavedCall> calls, List<String> damaged) {}
+}
--- /dev/null
+++ b/core/src/main/java/coveladder/core/recovery/WriteAhead.java
@@ -0,0 +1,223 @@
+package coveladder.core.recovery;
+
+import coveladder.CallPolicy.Outcome;
+import coveladder.CallPolicy.Reason;
+import coveladder.core.AttemptOrder;
+import coveladder.core.CallController;
+import coveladder.core.Clockwork;
+import coveladder.core.ExchangeList;
+import coveladder.core.FinalAnswer;
+import coveladder.core.HeldCall;
+import coveladder.core.Signalling;
+import coveladder.core.recovery.SavedCall.Phase;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Stands between the core and the front and sees that what must survive a restart is safe before it
+ * shows on the wire: a set-up before it leaves, a final answer before the caller gets it. All other
+ * changes go to the store without waiting; docs/restart.md argues each crash point.
+ *
+ * <p>A disk that fails does not stop calls: acts go on unkept, and are counted.
+ */
+public final class WriteAhead implements Signalling {
+  private final Signalling front;
+  private final Legs legs;
+  private final CallStore store;
+  private final Clockwork clock;
+  private final double answeredKept;
+  private final Map<String, Kept> kept = new HashMap<>();
+  private CallController controller;
+  private long unkept;
+
+  /** What is kept of a call, and what of it still waits for the disk. */
+  private static final class Kept {
+    private SavedCall saved;
+    private int waiting = -1;
+    private boolean calledOff;
+
+    Kept(SavedCall saved) {
+      this.saved = saved;
+    }
+  }
+
+  /**
+   * Makes it.
+   *
+   * @param answeredKept how long a final answer other than 2xx is kept, for repeats of its INVITE,
+   *     ms (64*T1)
+   */
+  public WriteAhead(Signalling front, Legs legs, CallStore store, double answeredKept) {
+    this.front = front;
+    this.legs = legs;
+    this.store = store;
+    this.clock = front.clockwork();
+    this.answeredKept = answeredKept;
+  }
+
+  /** Names the controller, which hears of attempts that were called off before they left. */
+  public void controller(CallController driven) {
+    controller = driven;
+  }
+
+  /** Acts that went on although the disk had failed. */
+  public long unkept() {
+    return unkept;
+  }
+
+  /** Calls kept. */
+  public int size() {
+    return kept.size();
+  }
+
+  /** A call that was found in the store and is held again. */
+  void adopt(SavedCall saved) {
+    kept.put(saved.id(), new Kept(saved));
+  }
+
+  // ---- Set-ups ------------------------------------------------------------------------------
+
+  @Override
+  public void startAttempt(AttemptOrder order) {
+    HeldCall held = controller.call(order.call());
+    byte[] leg = legs.prepareAttempt(order);
+    long deadline = legs.wallClock() + Math.round(held.patienceLeft(clock.now()));
+    SavedCall saved =
+        new SavedCall(
+            held.call(),
+            Phase.SETTING_UP,
+            order.attempt(),
+            order.first().id(),
+            legs.callerLeg(order.call()),
+            leg,
+            new byte[0],
+            deadline);
+    Kept entry = kept.computeIfAbsent(order.call(), id -> new Kept(saved));
+    entry.saved = saved;
+    entry.waiting = order.attempt();
+    entry.calledOff = false;
+    store.put(saved);
+    store.sync(safe -> safeToStart(order, entry, safe));
+  }
+
+  private void safeToStart(AttemptOrder order, Kept entry, boolean safe) {
+    unkept += safe ? 0 : 1;
+    entry.waiting = -1;
+    if (entry.calledOff) {
+      controller.attemptOver(order.call(), order.attempt(), Outcome.CANCELLED, Reason.NONE, 0);
+    } else {
+      front.startAttempt(order);
+    }
+  }
+
+  @Override
+  public void cancelAttempt(String call, int attempt) {
+    Kept entry = kept.get(call);
+    if (entry != null && entry.waiting == attempt) {
+      entry.calledOff = true;
+    } else {
+      front.cancelAttempt(call, attempt);
+    }
+  }
+
+  // ---- Answers ------------------------------------------------------------------------------
+
+  @Override
+  public void answer(String call, FinalAnswer answer) {
+    Kept entry = kept.get(call);
+    if (entry == null) {
+      front.answer(call, answer);
+      return;
+    }
+    boolean stands = answer.kind() == FinalAnswer.Kind.STANDS;
+    SavedCall before = entry.saved;
+    entry.saved =
+        new SavedCall(
+            before.call(),
+            stands ? Phase.STANDS : Phase.ANSWERED,
+            before.attempt(),
+            before.exchange(),
+            legs.callerLeg(call),
+            stands ? legs.attemptLeg(call) : before.attemptLeg(),
+            stands ? new byte[0] : legs.finalAnswer(call, answer),
+            before.deadline());
+    store.put(entry.saved);
+    store.sync(safe -> safeToAnswer(call, answer, safe));
+  }
+
+  private void safeToAnswer(String call, FinalAnswer answer, boolean safe) {
+    unkept += safe ? 0 : 1;
+    front.answer(call, answer);
+    if (answer.kind() != FinalAnswer.Kind.STANDS) {
+      clock.after(answeredKept, () -> forget(call));
+    }
+  }
+
+  /** Something of a call that stands has changed, such as an address; the store learns it late. */
+  public void changed(String call) {
+    Kept entry = kept.get(call);
+    if (entry != null && entry.saved.phase() == Phase.STANDS) {
+      SavedCall before = entry.saved;
+      entry.saved =
+          new SavedCall(
+              before.call(),
+              Phase.STANDS,
+              before.attempt(),
+              before.exchange(),
+              legs.callerLeg(call),
+              legs.attemptLeg(call),
+              before.answer(),
+              before.deadline());
+      store.put(entry.saved);
+    }
+  }
+
+  /**
+   * A call is let go by the core. Lost in a crash, this leaves a call that stood to be found gone
+   * by asking its ends, and an answer to be sent once more alike.
+   */
+  public void ended(String call) {
+    Kept entry = kept.get(call);
+    if (entry != null && entry.saved.phase() != Phase.ANSWERED) {
+      forget(call);
+    }
+  }
+
+  private void forget(String call) {
+    if (kept.remove(call) != null) {
+      store.remove(call);
+    }
+  }
+
+  // ---- What passes --------------------------------------------------------------------------
+
+  @Override
+  public void releaseAttempt(String call, int attempt) {
+    front.releaseAttempt(call, attempt);
+  }
+
+  @Override
+  public void releaseCaller(String call, boolean cut) {
+    front.releaseCaller(call, cut);
+  }
+
+  @Override
+  public void probe(ExchangeList.Entry exchange, double askedAt) {
+    front.probe(exchange, askedAt);
+  }
+
+  @Override
+  public void tell(byte[] payload) {
+    front.tell(payload);
+  }
+
+  @Override
+  public void subscribeList() {
+    front.subscribeList();
+  }
+
+  @Override
+  public Clockwork clockwork() {
+    return clock;
+  }
+}
