sip: one base for plain elements; what both client transactions share is in one place

StandinList, StandinCallers and the call command repeated how a node hands messages to its stack and answers what it does not want; both client transactions repeated how they time out, lose a connection and end.

--- a/app/src/main/java/coveladder/app/CallCommand.java
+++ b/app/src/main/java/coveladder/app/CallCommand.java
@@ -8,16 +8,14 @@
 import coveladder.sip.CallListener;
 import coveladder.sip.Failure;
 import coveladder.sip.Hop;
-import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipElement;
 import coveladder.sip.SipHost;
-import coveladder.sip.SipNode;
 import coveladder.sip.SipRequest;
 import coveladder.sip.SipResponse;
 import coveladder.sip.SipStack;
 import coveladder.sip.SipUri;
 import coveladder.sip.Timing;
 import coveladder.sip.Transport;
-import coveladder.sip.UserAgent;
 import java.io.PrintWriter;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -87,20 +85,19 @@
   }
 
   /** The caller. */
-  private final class OneCall implements SipNode, UserAgent.Owner, CallListener {
+  private final class OneCall extends SipElement implements CallListener {
     private final SipHost host;
     private final Hop controller;
     private final CountDownLatch done;
-    private final SipStack stack;
     private final PrintWriter out = spec.commandLine().getOut();
     private volatile boolean stood;
     private double begun;
 
     OneCall(SipHost host, Hop controller, CountDownLatch done) {
+      super(host, Timing.STANDARD, new SipStack.Limits(128, 100));
       this.host = host;
       this.controller = controller;
       this.done = done;
-      this.stack = new SipStack(host, Timing.STANDARD, new SipStack.Limits(128, 100), this);
     }
 
     private void print(String what) {
@@ -122,7 +119,7 @@
       }
       invite.body("application/sdp", SDP);
       print("INVITE " + uri + " to " + controller);
-      CallLeg leg = stack.agent().call(invite, controller, this);
+      CallLeg leg = agent().call(invite, controller, this);
       host.after(1000.0 * patience, () -> giveUp(leg));
     }
 
@@ -175,29 +172,5 @@
       print("BYE from the other side " + (bye == null ? "" : bye.header("Reason", "")));
       done.countDown();
     }
-
-    @Override
-    public void receive(Hop from, byte[] message, double arrived) {
-      stack.receive(from, message, arrived);
-    }
-
-    @Override
-    public void failed(Hop hop, Failure failure) {
-      stack.failed(hop, failure);
-    }
-
-    @Override
-    public CallListener incoming(CallLeg leg) {
-      leg.reject(leg.response(486));
-      return null;
-    }
-
-    @Override
-    public void taken(CallLeg leg) {}
-
-    @Override
-    public void request(ServerTransaction transaction, SipRequest request) {
-      transaction.respond(request.response(481));
-    }
   }
 }
--- a/sip/src/main/java/coveladder/sip/ClientTransaction.java
+++ b/sip/src/main/java/coveladder/sip/ClientTransaction.java
@@ -60,8 +60,40 @@
 
   abstract void receive(SipResponse response);
 
+  /** Whether a final answer is still awaited. */
+  abstract boolean waits();
+
+  /** Enters the last state. */
+  abstract void terminate();
+
+  abstract void stopTimers();
+
   /** The transport could not deliver to this hop, or lost its connection. */
-  abstract void lost(Failure failure);
+  void lost(Failure failure) {
+    if (waits()) {
+      stopTimers();
+      if (!fellBack(failure)) {
+        fail(failure);
+      }
+    }
+  }
+
+  void timeOut() {
+    if (waits()) {
+      fail(Failure.TIMED_OUT);
+    }
+  }
+
+  private void fail(Failure failure) {
+    finish();
+    tell(failure);
+  }
+
+  void finish() {
+    terminate();
+    stopTimers();
+    layer.over(this);
+  }
 
   void transmit() {
     if (wire == null) {
--- a/sip/src/main/java/coveladder/sip/InviteClientTransaction.java
+++ b/sip/src/main/java/coveladder/sip/InviteClientTransaction.java
@@ -44,13 +44,6 @@
     }
   }
 
-  private void timeOut() {
-    if (state == State.CALLING || state == State.PROCEEDING) {
-      finish();
-      tell(Failure.TIMED_OUT);
-    }
-  }
-
   @Override
   void receive(SipResponse response) {
     switch (state) {
@@ -139,24 +132,17 @@
   }
 
   @Override
-  void lost(Failure failure) {
-    boolean open = state == State.CALLING || state == State.PROCEEDING;
-    if (open) {
-      stopTimers();
-    }
-    if (open && !fellBack(failure)) {
-      finish();
-      tell(failure);
-    }
+  boolean waits() {
+    return state == State.CALLING || state == State.PROCEEDING;
   }
 
-  private void finish() {
+  @Override
+  void terminate() {
     state = State.TERMINATED;
-    stopTimers();
-    layer.over(this);
   }
 
-  private void stopTimers() {
+  @Override
+  void stopTimers() {
     stop(timerA);
     stop(timerB);
   }
--- a/sip/src/main/java/coveladder/sip/NonInviteClientTransaction.java
+++ b/sip/src/main/java/coveladder/sip/NonInviteClientTransaction.java
@@ -39,13 +39,6 @@
     }
   }
 
-  private void timeOut() {
-    if (state == State.TRYING || state == State.PROCEEDING) {
-      finish();
-      tell(Failure.TIMED_OUT);
-    }
-  }
-
   @Override
   void receive(SipResponse response) {
     if (state != State.TRYING && state != State.PROCEEDING) {
@@ -63,24 +56,17 @@
   }
 
   @Override
-  void lost(Failure failure) {
-    boolean open = state == State.TRYING || state == State.PROCEEDING;
-    if (open) {
-      stopTimers();
-    }
-    if (open && !fellBack(failure)) {
-      finish();
-      tell(failure);
-    }
+  boolean waits() {
+    return state == State.TRYING || state == State.PROCEEDING;
   }
 
-  private void finish() {
+  @Override
+  void terminate() {
     state = State.TERMINATED;
-    stopTimers();
-    layer.over(this);
   }
 
-  private void stopTimers() {
+  @Override
+  void stopTimers() {
     stop(timerE);
     stop(timerF);
   }
--- a/standin/src/main/java/coveladder/standin/StandinCallers.java
+++ b/standin/src/main/java/coveladder/standin/StandinCallers.java
@@ -4,14 +4,12 @@
 import coveladder.sip.CallListener;
 import coveladder.sip.Failure;
 import coveladder.sip.Hop;
-import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipElement;
 import coveladder.sip.SipHost;
-import coveladder.sip.SipNode;
 import coveladder.sip.SipRequest;
 import coveladder.sip.SipResponse;
 import coveladder.sip.SipStack;
 import coveladder.sip.Timing;
-import coveladder.sip.UserAgent;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -21,13 +19,12 @@
  * Stand-in callers: each makes its call, gives up when its patience ends, dials again after a
  * refusal, hangs up in the end, and comes again when it was cut.
  */
-public final class StandinCallers implements SipNode, UserAgent.Owner {
+public final class StandinCallers extends SipElement {
   private static final String SDP =
       "v=0\r\no=- 0 0 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\n"
           + "m=audio 9 RTP/AVP 0\r\n";
 
   private final SipHost host;
-  private final SipStack stack;
   private final Map<Integer, Hop> controllers;
   private final Habits habits;
   private final Consumer<Fate> fates;
@@ -62,11 +59,11 @@
       Map<Integer, Hop> controllers,
       Habits habits,
       Consumer<Fate> fates) {
+    super(host, timing, SipStack.Limits.USUAL);
     this.host = host;
     this.controllers = controllers;
     this.habits = habits;
     this.fates = fates;
-    this.stack = new SipStack(host, timing, SipStack.Limits.USUAL, this);
   }
 
   /** Sets the calls to be made, in the order of their times. */
@@ -132,7 +129,7 @@
       invite.body("application/sdp", SDP);
       returned = false;
       patience = host.after(plan.patience(), this::giveUp);
-      leg = stack.agent().call(invite, to, this);
+      leg = agent().call(invite, to, this);
     }
 
     /** The call's name, then the number of the try: each try is a call to its controller. */
@@ -223,28 +220,4 @@
       fates.accept(new Fate(plan, tries, stoodAfter, wasCut, last));
     }
   }
-
-  @Override
-  public void receive(Hop from, byte[] message, double arrived) {
-    stack.receive(from, message, arrived);
-  }
-
-  @Override
-  public void failed(Hop hop, Failure failure) {
-    stack.failed(hop, failure);
-  }
-
-  @Override
-  public CallListener incoming(CallLeg leg) {
-    leg.reject(leg.response(486));
-    return null;
-  }
-
-  @Override
-  public void taken(CallLeg leg) {}
-
-  @Override
-  public void request(ServerTransaction transaction, SipRequest request) {
-    transaction.respond(request.response(request.is("OPTIONS") ? 200 : 481));
-  }
 }
--- a/standin/src/main/java/coveladder/standin/StandinList.java
+++ b/standin/src/main/java/coveladder/standin/StandinList.java
@@ -1,26 +1,20 @@
 package coveladder.standin;
 
-import coveladder.sip.CallLeg;
-import coveladder.sip.CallListener;
-import coveladder.sip.Failure;
-import coveladder.sip.Hop;
 import coveladder.sip.Notifier;
 import coveladder.sip.ServerTransaction;
+import coveladder.sip.SipElement;
 import coveladder.sip.SipHost;
-import coveladder.sip.SipNode;
 import coveladder.sip.SipRequest;
 import coveladder.sip.SipStack;
 import coveladder.sip.Timing;
-import coveladder.sip.UserAgent;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /** A stand-in for the exchange list: it knows whether processors run, and tells it late. */
-public final class StandinList implements SipNode, UserAgent.Owner {
+public final class StandinList extends SipElement {
   private final SipHost host;
-  private final SipStack stack;
   private final Notifier notifier;
   private final double lateness;
   private final Map<String, Line> lines = new LinkedHashMap<>();
@@ -47,15 +41,12 @@
 
   /** Makes a list that tells changes so many milliseconds late, give or take a half. */
   public StandinList(SipHost host, Timing timing, double lateness) {
+    super(host, timing, SipStack.Limits.USUAL);
     this.host = host;
     this.lateness = lateness;
-    this.stack = new SipStack(host, timing, SipStack.Limits.USUAL, this);
-    this.notifier = new Notifier(stack.agent(), host, "exchange-list", 1000);
+    this.notifier = new Notifier(agent(), host, "exchange-list", 1000);
   }
 
-  @Override
-  public void start() {}
-
   /** Enters lines that are known from the beginning. */
   public void enter(List<Line> known) {
     version++;
@@ -103,20 +94,10 @@
     return out.append("]}").toString();
   }
 
-  @Override
-  public void receive(Hop from, byte[] message, double arrived) {
-    stack.receive(from, message, arrived);
-  }
-
-  @Override
-  public void failed(Hop hop, Failure failure) {
-    stack.failed(hop, failure);
-  }
-
   @Override
   public void request(ServerTransaction transaction, SipRequest request) {
     if (!request.is("SUBSCRIBE")) {
-      transaction.respond(request.response(request.is("OPTIONS") ? 200 : 481));
+      super.request(transaction, request);
       return;
     }
     Notifier.Subscription made = notifier.subscribe(transaction, request);
@@ -124,13 +105,4 @@
       made.notify("application/json", body(new ArrayList<>(lines.values()), -1));
     }
   }
-
-  @Override
-  public CallListener incoming(CallLeg leg) {
-    leg.reject(leg.response(405));
-    return null;
-  }
-
-  @Override
-  public void taken(CallLeg leg) {}
 }
