sip: legs and transactions go on from messages that were kept

After a restart a stack must take up what an earlier one left: calls that stand, as caller or callee, with their numbers and targets; INVITEs without a final answer, so that repeats find them; attempts that may be out, called off without being sent again, over with 487, 481 or 64*T1, a 200 that crossed released. A 2xx that comes again to a call that stands is acknowledged again.

--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -51,13 +51,54 @@
   }
 
   /** Makes the callee's side. */
-  CallLeg(UserAgent agent, ServerTransaction server, CallListener listener) {
+  CallLeg(UserAgent agent, ServerTransaction server, String localTag, CallListener listener) {
     this.agent = agent;
     this.caller = false;
     this.invite = server.request();
     this.server = server;
     this.listener = listener;
-    this.localTag = agent.newTag();
+    this.localTag = localTag;
+  }
+
+  /** Goes on, as caller, with a call that stood before a restart. */
+  void resume(Hop hop, SipResponse answered, Dialog.Progress kept) {
+    place = hop;
+    dialog(Dialog.ofCaller(invite, answered));
+    dialog.resume(kept);
+    state = State.CONFIRMED;
+  }
+
+  /**
+   * Goes on, as callee, with a call that stood before a restart.
+   *
+   * @param answered the 2xx, sent again until its ACK comes; null where that had come
+   */
+  void resume(String to, SipResponse answered, Dialog.Progress kept) {
+    place = server.source();
+    dialog(Dialog.ofCallee(invite, to, agent.contact(place)));
+    if (answered == null) {
+      state = State.CONFIRMED;
+    } else {
+      accept(answered);
+    }
+    dialog.resume(kept);
+  }
+
+  /** A 2xx that came again although its transaction is over: the other side missed the ACK. */
+  void strayOk(SipResponse response) {
+    if (caller && state == State.CONFIRMED) {
+      agent.sendAck(dialog.ack(response.cseq().number()), dialog.hop());
+    }
+  }
+
+  /** Own tag on this leg. */
+  public String localTag() {
+    return localTag;
+  }
+
+  /** What has changed in the dialog since it was made; null before there is one. */
+  public Dialog.Progress progress() {
+    return dialog == null ? null : dialog.progress();
   }
 
   /** The INVITE that began it; null once a call stands for so long that no repeat can come. */
--- a/sip/src/main/java/coveladder/sip/Dialog.java
+++ b/sip/src/main/java/coveladder/sip/Dialog.java
@@ -10,6 +10,8 @@
  * <p>It makes requests within the dialog and keeps the order of those that come in.
  */
 public final class Dialog {
+  private static final long RESUME_JUMP = 1_000;
+
   private final String callId;
   private final String localTag;
   private final String remoteTag;
@@ -68,6 +70,30 @@
     return NameAddr.parse(remote).uri();
   }
 
+  /**
+   * What has changed since the messages that made the dialog: own and other's number, target.
+   *
+   * @param local last own number
+   * @param remote last number of the other side
+   * @param target where requests go
+   */
+  public record Progress(long local, long remote, String target) {}
+
+  /** What has changed since the dialog was made. */
+  public Progress progress() {
+    return new Progress(localSeq, remoteSeq, target);
+  }
+
+  /**
+   * Goes on from what was kept. Own numbers jump, as some may have been used that were not kept; a
+   * gap is in order (section 12.2.1.1).
+   */
+  public void resume(Progress kept) {
+    localSeq = kept.local() + RESUME_JUMP;
+    remoteSeq = kept.remote();
+    target = kept.target();
+  }
+
   /** The key that requests from the other side find this dialog by. */
   public String key() {
     return key(callId, localTag, remoteTag);
--- a/sip/src/main/java/coveladder/sip/InviteClientTransaction.java
+++ b/sip/src/main/java/coveladder/sip/InviteClientTransaction.java
@@ -19,6 +19,7 @@
   private SipHost.Timer timerB;
   private double gap;
   private boolean cancelWanted;
+  private boolean revived;
   private String cancelReason;
   private SipRequest ack;
 
@@ -36,6 +37,38 @@
     timerB = after(timing.life(), this::timeOut);
   }
 
+  /**
+   * Goes on, after a restart, with an INVITE that may have left: it is not sent again, and called
+   * off at once. That the other side does not know it (481 to the CANCEL) is an end as well.
+   */
+  void callOffRevived(String reason) {
+    state = State.PROCEEDING;
+    cancelReason = reason;
+    revived = true;
+    cancelWanted = true;
+    sendCancel();
+  }
+
+  private void cancelAnswered(SipResponse response) {
+    if (revived && response.status() == 481 && waits()) {
+      finish();
+      tell(Failure.TIMED_OUT);
+    }
+  }
+
+  /** Hears what becomes of the CANCEL. */
+  private final class CancelAnswers implements Listener {
+    @Override
+    public void response(SipResponse response) {
+      cancelAnswered(response);
+    }
+
+    @Override
+    public void failed(Failure failure) {
+      // The INVITE's own end, or its timer, tells what is to be known.
+    }
+  }
+
   private void repeat() {
     if (state == State.CALLING) {
       transmit();
@@ -107,7 +140,7 @@
     if (cancelReason != null) {
       cancel.add("Reason", cancelReason);
     }
-    layer.sendCancel(cancel, hop());
+    layer.sendCancel(cancel, hop(), new CancelAnswers());
     timerB = after(timing.life(), this::timeOut);
   }
 
--- a/sip/src/main/java/coveladder/sip/TransactionLayer.java
+++ b/sip/src/main/java/coveladder/sip/TransactionLayer.java
@@ -106,8 +106,29 @@
   }
 
   /** Sends a CANCEL, which bears the Via of the INVITE. */
-  void sendCancel(SipRequest cancel, Hop hop) {
-    start(cancel, hop, ClientTransaction.Listener.IGNORE, false);
+  void sendCancel(SipRequest cancel, Hop hop, ClientTransaction.Listener listener) {
+    start(cancel, hop, listener, false);
+  }
+
+  /**
+   * Calls off, after a restart, an INVITE that may have left with the Via that it bears.
+   *
+   * @param listener hears its end, and a 2xx that crosses
+   */
+  void callOff(SipRequest invite, Hop hop, ClientTransaction.Listener listener) {
+    InviteClientTransaction made = new InviteClientTransaction(this, invite, hop, listener);
+    hold(made);
+    made.callOffRevived("SIP;cause=487");
+  }
+
+  /**
+   * Takes an INVITE, after a restart, that came before it, so that its repeats find a transaction.
+   */
+  ServerTransaction revive(SipRequest invite, Hop source) {
+    InviteServerTransaction made = new InviteServerTransaction(this, invite, source, host.now());
+    hold(serverKey(invite, "INVITE"), made);
+    initial.put(mergeKey(invite), serverKey(invite, "INVITE"));
+    return made;
   }
 
   /** Sends an ACK to a 2xx, which is no transaction. */
@@ -122,10 +143,7 @@
         request.is("INVITE")
             ? new InviteClientTransaction(this, request, hop, listener)
             : new NonInviteClientTransaction(this, request, hop, listener);
-    clients.put(made.key(), made);
-    if (hop.transport().reliable()) {
-      byConnection.computeIfAbsent(hop, h -> new LinkedHashSet<>()).add(made);
-    }
+    hold(made);
     if (large) {
       made.enlarged();
     }
@@ -133,6 +151,20 @@
     return made;
   }
 
+  private void hold(ClientTransaction made) {
+    clients.put(made.key(), made);
+    if (made.reliable()) {
+      byConnection.computeIfAbsent(made.hop(), h -> new LinkedHashSet<>()).add(made);
+    }
+  }
+
+  private void hold(String key, ServerTransaction made) {
+    servers.put(key, made);
+    if (made.source().transport().reliable()) {
+      serversByConnection.computeIfAbsent(made.source(), h -> new LinkedHashSet<>()).add(made);
+    }
+  }
+
   private Via via(Transport transport, String branch) {
     Hop local = host.local(transport);
     Params params = new Params().set("branch", branch).set("rport", "");
@@ -248,10 +280,7 @@
         request.is("INVITE")
             ? new InviteServerTransaction(this, request, from, arrival)
             : new NonInviteServerTransaction(this, request, from, arrival);
-    servers.put(key, made);
-    if (from.transport().reliable()) {
-      serversByConnection.computeIfAbsent(from, h -> new LinkedHashSet<>()).add(made);
-    }
+    hold(key, made);
     if (request.is("CANCEL")) {
       cancel(made, request);
     } else if (merged) {
--- a/sip/src/main/java/coveladder/sip/UserAgent.java
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -123,6 +123,82 @@
     layer.send(request, hop, answers);
   }
 
+  // ---- After a restart ----------------------------------------------------------------------
+
+  /** Goes on with a call that stood, as its caller, from the INVITE as sent and its 2xx. */
+  public CallLeg resumeCaller(
+      SipRequest invite,
+      Hop hop,
+      SipResponse answered,
+      Dialog.Progress kept,
+      CallListener listener) {
+    CallLeg leg = new CallLeg(this, invite, listener);
+    leg.resume(hop, answered, kept);
+    return leg;
+  }
+
+  /**
+   * Goes on with a call that stood, as its callee.
+   *
+   * @param answered the 2xx as sent
+   * @param acknowledged whether its ACK had come
+   */
+  public CallLeg resumeCallee(
+      SipRequest invite,
+      Hop source,
+      SipResponse answered,
+      boolean acknowledged,
+      Dialog.Progress kept,
+      CallListener listener) {
+    ServerTransaction server = layer.revive(invite, source);
+    CallLeg leg = new CallLeg(this, server, answered.toTag(), listener);
+    if (acknowledged) {
+      server.respond(answered);
+    }
+    leg.resume(answered.header("To"), acknowledged ? null : answered, kept);
+    return leg;
+  }
+
+  /** Takes up an INVITE that had no final answer, with the tag that its leg had. */
+  public CallLeg resumeUnanswered(
+      SipRequest invite, Hop source, String localTag, CallListener listener) {
+    ServerTransaction server = layer.revive(invite, source);
+    CallLeg leg = new CallLeg(this, server, localTag, listener);
+    taken.put(server, leg);
+    return leg;
+  }
+
+  /** Calls off an INVITE that may have left, as sent; {@code over} runs once that is over. */
+  public void callOff(SipRequest invite, Hop hop, Runnable over) {
+    layer.callOff(invite, hop, new Revived(invite, over));
+  }
+
+  /** Hears of an INVITE that was called off after a restart. */
+  private final class Revived implements ClientTransaction.Listener {
+    private final SipRequest invite;
+    private final Runnable over;
+
+    Revived(SipRequest invite, Runnable over) {
+      this.invite = invite;
+      this.over = over;
+    }
+
+    @Override
+    public void response(SipResponse response) {
+      if (response.success()) {
+        release(invite, response);
+      }
+      if (!response.provisional()) {
+        over.run();
+      }
+    }
+
+    @Override
+    public void failed(Failure failure) {
+      over.run();
+    }
+  }
+
   // ---- For legs -----------------------------------------------------------------------------
 
   void send(SipRequest request, Hop hop, ClientTransaction.Listener answers) {
@@ -222,7 +298,7 @@
 
   private void begin(ServerTransaction transaction) {
     Router router = new Router();
-    CallLeg leg = new CallLeg(this, transaction, router);
+    CallLeg leg = new CallLeg(this, transaction, newTag(), router);
     router.listener = owner.incoming(leg);
     if (router.listener != null) {
       taken.put(transaction, leg);
@@ -279,6 +355,9 @@
     invite.copy("CSeq", response);
     CallLeg leg = legs.get(Dialog.key(response.callId(), response.fromTag(), response.toTag()));
     boolean standing = leg != null && leg.state() == CallLeg.State.CONFIRMED;
+    if (standing) {
+      leg.strayOk(response);
+    }
     if (!standing && response.address("Contact") != null && response.toTag() != null) {
       release(invite, response);
     }
--- a/sip/src/test/java/coveladder/sip/FakeNet.java
+++ b/sip/src/test/java/coveladder/sip/FakeNet.java
@@ -143,6 +143,9 @@
 
     @Override
     public void send(Hop to, byte[] message) {
+      if (boxes.get(name) != this) {
+        return; // It was replaced: its machine is no more.
+      }
       Sent made = new Sent(name, to, new String(message, StandardCharsets.ISO_8859_1), now);
       sent.add(made);
       Box other = boxes.get(to.host());
