sip, sipfront: an attempt is made ready, with all its names, before it leaves

What survives a restart must be written before an INVITE leaves, with the Call-ID and branch that it will bear. Making ready and sending are two steps now; without a store one follows the other at once.

--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -41,7 +41,7 @@
   private Hop place;
   private ReinviteOk reinviteOk;
 
-  /** Makes the caller's side; the INVITE leaves by {@link #start}. */
+  /** Makes the caller's side; the INVITE leaves by {@link #launch}. */
   CallLeg(UserAgent agent, SipRequest invite, CallListener listener) {
     this.agent = agent;
     this.caller = true;
@@ -153,8 +153,13 @@
 
   // ---- Caller's side ------------------------------------------------------------------------
 
-  void start(Hop hop) {
-    client = (InviteClientTransaction) agent.layer().send(invite, hop, new InviteAnswers());
+  void prepare(Hop hop) {
+    client = (InviteClientTransaction) agent.layer().prepare(invite, hop, new InviteAnswers());
+  }
+
+  /** Sends the INVITE of a leg that {@link UserAgent#prepare} made ready. */
+  public void launch() {
+    agent.layer().begin(client);
   }
 
   /** Hears the answers to the first INVITE. */
--- a/sip/src/main/java/coveladder/sip/TransactionLayer.java
+++ b/sip/src/main/java/coveladder/sip/TransactionLayer.java
@@ -97,17 +97,34 @@
    * datagram goes by TCP, and by UDP after all if no connection can be had.
    */
   public ClientTransaction send(SipRequest request, Hop hop, ClientTransaction.Listener listener) {
+    ClientTransaction made = prepare(request, hop, listener);
+    begin(made);
+    return made;
+  }
+
+  /** Makes a transaction ready, with its Via, without sending anything yet. */
+  ClientTransaction prepare(SipRequest request, Hop hop, ClientTransaction.Listener listener) {
     request.addFirst("Via", via(hop.transport(), nextBranch()).toString());
     boolean large = hop.transport() == Transport.UDP && request.toBytes().length > DATAGRAM_MOST;
     if (large) {
       request.topVia(via(Transport.TCP, request.via().branch()));
     }
-    return start(request, large ? hop.by(Transport.TCP) : hop, listener, large);
+    ClientTransaction made = make(request, large ? hop.by(Transport.TCP) : hop, listener);
+    if (large) {
+      made.enlarged();
+    }
+    return made;
+  }
+
+  /** Sends the request of a transaction that was made ready. */
+  void begin(ClientTransaction made) {
+    hold(made);
+    made.start();
   }
 
   /** Sends a CANCEL, which bears the Via of the INVITE. */
   void sendCancel(SipRequest cancel, Hop hop, ClientTransaction.Listener listener) {
-    start(cancel, hop, listener, false);
+    begin(make(cancel, hop, listener));
   }
 
   /**
@@ -137,18 +154,10 @@
     host.send(hop, ack.toBytes());
   }
 
-  private ClientTransaction start(
-      SipRequest request, Hop hop, ClientTransaction.Listener listener, boolean large) {
-    ClientTransaction made =
-        request.is("INVITE")
-            ? new InviteClientTransaction(this, request, hop, listener)
-            : new NonInviteClientTransaction(this, request, hop, listener);
-    hold(made);
-    if (large) {
-      made.enlarged();
-    }
-    made.start();
-    return made;
+  private ClientTransaction make(SipRequest request, Hop hop, ClientTransaction.Listener listener) {
+    return request.is("INVITE")
+        ? new InviteClientTransaction(this, request, hop, listener)
+        : new NonInviteClientTransaction(this, request, hop, listener);
   }
 
   private void hold(ClientTransaction made) {
--- a/sip/src/main/java/coveladder/sip/UserAgent.java
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -94,10 +94,17 @@
    * @param invite an INVITE with its Request-URI, From and To; what else a leg needs is added
    */
   public CallLeg call(SipRequest invite, Hop hop, CallListener listener) {
+    CallLeg leg = prepare(invite, hop, listener);
+    leg.launch();
+    return leg;
+  }
+
+  /** Makes a call ready, with all its names, without sending anything yet. */
+  public CallLeg prepare(SipRequest invite, Hop hop, CallListener listener) {
     invite.set("From", invite.header("From") + ";tag=" + newTag());
     fill(invite, newTag() + "@" + host.local(hop.transport()).host(), hop);
     CallLeg leg = new CallLeg(this, invite, listener);
-    leg.start(hop);
+    leg.prepare(hop);
     return leg;
   }
 
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -27,12 +27,13 @@
   private final SipFront front;
   private final String id;
   private final boolean transit;
-  private final CallLeg caller;
+  private CallLeg caller;
   private final List<Reliable> reliable = new ArrayList<>(0);
   private CallLeg attemptLeg;
   private int attempt = -1;
   private SipResponse answer;
   private boolean ackOwed;
+  private boolean launched;
   private SipHost.Timer sessionTimer;
   private double sessionLasts;
 
@@ -56,10 +57,39 @@
 
   // ---- Attempts -----------------------------------------------------------------------------
 
-  void start(AttemptOrder order, SipRequest invite) {
+  /** Makes an attempt ready without sending it. */
+  void prepare(AttemptOrder order, SipRequest invite) {
     attempt = order.attempt();
     answer = null;
-    attemptLeg = front.agent().call(invite, front.ownSwitch(), new AttemptSide(order.attempt()));
+    launched = false;
+    AttemptSide side = new AttemptSide(order.attempt());
+    attemptLeg = front.agent().prepare(invite, front.ownSwitch(), side);
+  }
+
+  /** Whether this attempt was made ready and has not left. */
+  boolean ready(int number) {
+    return attempt == number && attemptLeg != null && !launched;
+  }
+
+  void launch() {
+    launched = true;
+    attemptLeg.launch();
+  }
+
+  /** Takes legs that stood before a restart. */
+  void resume(CallLeg callerAgain, CallLeg attemptAgain, int number) {
+    caller = callerAgain;
+    attemptLeg = attemptAgain;
+    attempt = number;
+    launched = true;
+  }
+
+  CallLeg attemptLeg() {
+    return attemptLeg;
+  }
+
+  CallListener attemptSide(int number) {
+    return new AttemptSide(number);
   }
 
   void cancel(int number) {
@@ -214,7 +244,8 @@
 
   /** Whether nothing is left to do for the call. */
   boolean over() {
-    boolean attemptOver = attemptLeg == null || attemptLeg.state() == CallLeg.State.ENDED;
+    boolean attemptOver =
+        attemptLeg == null || !launched || attemptLeg.state() == CallLeg.State.ENDED;
     boolean over = attemptOver && caller.state() == CallLeg.State.ENDED;
     if (over && sessionTimer != null) {
       sessionTimer.cancel();
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -248,7 +248,17 @@
   @Override
   public void startAttempt(AttemptOrder order) {
     Bridge bridge = bridges.get(order.call());
-    bridge.start(order, attemptInvite(order, bridge.caller().invite()));
+    if (!bridge.ready(order.attempt())) {
+      prepare(order);
+    }
+    bridge.launch();
+  }
+
+  /** Makes an attempt ready without sending it. */
+  Bridge prepare(AttemptOrder order) {
+    Bridge bridge = bridges.get(order.call());
+    bridge.prepare(order, attemptInvite(order, bridge.caller().invite()));
+    return bridge;
   }
 
   private SipRequest attemptInvite(AttemptOrder order, SipRequest came) {
