sipfront: calls are kept through WriteAhead, and a start goes on from them

Legs are kept as the messages that made them with what has changed since; SavedLegs makes them again: calls that stand resume with their numbers, targets and session, what the caller is owed is repeated, set-ups cut short are called off and answered once, both ends of standing calls are asked. Call ids no longer repeat after a restart. The daemon does not open a store yet.

--- a/core/src/main/java/coveladder/core/recovery/Legs.java
+++ b/core/src/main/java/coveladder/core/recovery/Legs.java
@@ -15,6 +15,12 @@
   /** The leg of the attempt that was answered. */
   byte[] attemptLeg(String call);
 
+  /** A leg that was kept, with what has changed since. */
+  byte[] refreshed(String call, boolean ofCaller, byte[] before);
+
+  /** Makes the caller's 2xx ready, so that its leg can be kept with it. */
+  void prepareStands(String call);
+
   /** A final answer other than 2xx as it will leave, so that it can leave again alike. */
   byte[] finalAnswer(String call, FinalAnswer answer);
 
--- a/core/src/main/java/coveladder/core/recovery/WriteAhead.java
+++ b/core/src/main/java/coveladder/core/recovery/WriteAhead.java
@@ -131,6 +131,9 @@
     }
     boolean stands = answer.kind() == FinalAnswer.Kind.STANDS;
     SavedCall before = entry.saved;
+    if (stands) {
+      legs.prepareStands(call);
+    }
     entry.saved =
         new SavedCall(
             before.call(),
@@ -164,8 +167,8 @@
               Phase.STANDS,
               before.attempt(),
               before.exchange(),
-              legs.callerLeg(call),
-              legs.attemptLeg(call),
+              legs.refreshed(call, true, before.callerLeg()),
+              legs.refreshed(call, false, before.attemptLeg()),
               before.answer(),
               before.deadline());
       store.put(entry.saved);
--- a/core/src/test/java/coveladder/core/recovery/CrashTest.java
+++ b/core/src/test/java/coveladder/core/recovery/CrashTest.java
@@ -250,6 +250,14 @@
       return bytes(answer.kind().name());
     }
 
+    @Override
+    public byte[] refreshed(String call, boolean ofCaller, byte[] before) {
+      return before;
+    }
+
+    @Override
+    public void prepareStands(String call) {}
+
     @Override
     public long wallClock() {
       return 1_000_000;
--- a/rehearsal/src/main/java/coveladder/rehearsal/SimWorld.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/SimWorld.java
@@ -43,6 +43,7 @@
     private SipNode inner;
     private boolean reachable = true;
     private double frozenUntil;
+    private int life;
 
     Node(String name, String host) {
       this.name = name;
@@ -111,11 +112,13 @@
   /** A timer of a node, held back while it is frozen. */
   private static final class Frozen implements Runnable, SipHost.Timer {
     private final Node node;
+    private final int life;
     private Runnable task;
     private SipHost.Timer running;
 
     Frozen(Node node, Runnable task) {
       this.node = node;
+      this.life = node.life;
       this.task = task;
     }
 
@@ -125,7 +128,7 @@
           () -> {
             Runnable due = task;
             task = null;
-            if (due != null) {
+            if (due != null && life == node.life) {
               due.run();
             }
           });
@@ -170,6 +173,20 @@
     return made;
   }
 
+  /** Kills a node: its timers, connections and memory are gone, and it hears nothing. */
+  public void kill(String name) {
+    tap.note(time.now(), name, "killed");
+    reachable(name, false);
+    byName.get(name).life++;
+  }
+
+  /** Starts a node that was killed, with nothing but what its maker knows. */
+  public <N extends SipNode> N revive(String name, Function<SipHost, N> maker) {
+    Node node = byName.get(name);
+    node.reachable = true;
+    return add(name, "", maker);
+  }
+
   // ---- The wire -----------------------------------------------------------------------------
 
   private double way() {
--- a/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
@@ -3,7 +3,9 @@
 import coveladder.CallPolicy.State;
 import coveladder.core.CallController;
 import coveladder.core.ExchangeList;
+import coveladder.core.recovery.Recovery;
 import coveladder.sip.Hop;
+import coveladder.sip.SipHost;
 import coveladder.sip.SipStack;
 import coveladder.sip.Timing;
 import coveladder.sip.Transport;
@@ -22,15 +24,22 @@
   final RawNode ownSwitch = world.add("switch", "x", RawNode::new);
   final RawNode listServer = world.add("list", "x", RawNode::new);
   final Hop place;
-  final SipFront front;
-  private final Transport toSwitch;
+  final KeptInMemory disk = new KeptInMemory();
+  SipFront front;
+  private FrontSettings settings;
+  private final FleetPlan plan = FleetPlan.eight().sized(4, 1);
+  private final boolean keeps;
 
   ControllerBed(Transport toSwitch) {
-    this.toSwitch = toSwitch;
+    this(toSwitch, false);
+  }
+
+  /** Makes a bed whose controller keeps its calls, or does not. */
+  ControllerBed(Transport toSwitch, boolean keeps) {
+    this.keeps = keeps;
     place = world.place("controller");
     world.conditions(new World.Conditions(1, 1, 0, 0));
-    FleetPlan plan = FleetPlan.eight().sized(4, 1);
-    FrontSettings settings =
+    settings =
         new FrontSettings(
             "x0.example",
             world.place("switch").by(toSwitch),
@@ -43,22 +52,35 @@
             1,
             Timing.STANDARD,
             SipStack.Limits.USUAL);
-    front =
-        world.add(
-            "controller",
-            "x",
-            host ->
-                new SipFront(
-                    host,
-                    settings,
-                    plan.rules(0),
-                    Tampering.NONE.guard().get(),
-                    CallController.Journal.NONE,
-                    Tampering.NONE.maker(plan.rules(0), 3)));
+    front = world.add("controller", "x", this::make);
     run(50);
     tellList();
   }
 
+  private SipFront make(SipHost host) {
+    disk.clock(host);
+    return new SipFront(
+        host,
+        settings,
+        plan.rules(0),
+        Tampering.NONE.guard().get(),
+        CallController.Journal.NONE,
+        Tampering.NONE.maker(plan.rules(0), 3),
+        keeps
+            ? new SipFront.Keeping(disk, new Recovery.Budget(1_000, 100), () -> (long) world.now())
+            : null);
+  }
+
+  /** Kills the controller and starts it again from what was safe; the list comes anew. */
+  void restart(double downFor) {
+    world.kill("controller");
+    disk.crash();
+    run(downFor);
+    front = world.revive("controller", this::make);
+    run(1);
+    tellList();
+  }
+
   private void tellList() {
     List<ExchangeList.Entry> entries = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -34,6 +34,7 @@
   private SipResponse answer;
   private boolean ackOwed;
   private boolean launched;
+  private SipResponse prepared;
   private SipHost.Timer sessionTimer;
   private double sessionLasts;
 
@@ -194,6 +195,7 @@
 
     @Override
     public void acknowledged(CallLeg leg, SipRequest ack) {
+      front.changed(id);
       if (ackOwed) {
         ackOwed = false;
         attemptLeg.ack(ack);
@@ -218,16 +220,38 @@
     }
   }
 
-  /** Gives the caller its one final answer. */
-  void answer(FinalAnswer given) {
-    SipResponse response;
-    switch (given.kind()) {
-      case STANDS, PASSED -> {
-        response = caller.response(answer.status());
-        EndToEnd.copy(answer, response);
+  /** Makes the caller's final answer ready without sending it. */
+  SipResponse prepare(FinalAnswer given) {
+    if (prepared == null) {
+      switch (given.kind()) {
+        case STANDS, PASSED -> {
+          prepared = caller.response(answer.status());
+          EndToEnd.copy(answer, prepared);
+        }
+        default -> prepared = FinalResponses.of(caller, given, transit, front.settings());
       }
-      default -> response = FinalResponses.of(caller, given, transit, front.settings());
     }
+    return prepared;
+  }
+
+  /** The final answer that was made ready; null before. */
+  SipResponse prepared() {
+    return prepared;
+  }
+
+  /** The callee's answer that the call stands by. */
+  SipResponse received() {
+    return answer;
+  }
+
+  int attempt() {
+    return attempt;
+  }
+
+  /** Gives the caller its one final answer. */
+  void answer(FinalAnswer given) {
+    SipResponse response = prepare(given);
+    prepared = null;
     if (given.kind() == FinalAnswer.Kind.STANDS) {
       caller.accept(response);
       watchSession(answer);
@@ -295,7 +319,12 @@
 
   private void relay(
       CallLeg from, CallLeg to, ServerTransaction transaction, SipRequest request, String rack) {
-    Relay.carry(from, to, transaction, request, rack, this::watchSession);
+    Relay.carry(from, to, transaction, request, rack, this::agreed);
+  }
+
+  private void agreed(SipResponse response) {
+    watchSession(response);
+    front.changed(id);
   }
 
   /**
--- /dev/null
+++ b/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
@@ -0,0 +1,97 @@
+package coveladder.sipfront;
+
+import coveladder.sip.Dialog;
+import coveladder.sip.Hop;
+import coveladder.sip.SipParseException;
+import coveladder.sip.SipParser;
+import coveladder.sip.SipRequest;
+import coveladder.sip.SipResponse;
+import coveladder.sip.Transport;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * A leg as octets: where it goes, its INVITE and the answer to it as they were on the wire, and
+ * what has changed in the dialog since.
+ *
+ * @param hop the other side
+ * @param tag own tag
+ * @param acknowledged whether the answer's ACK has passed
+ * @param progress what has changed in the dialog; null before there is one
+ * @param invite the INVITE
+ * @param answer the final answer; empty before there is one
+ */
+record LegRecord(
+    Hop hop,
+    String tag,
+    boolean acknowledged,
+    Dialog.Progress progress,
+    byte[] invite,
+    byte[] answer) {
+  private static final int HEADERS = 1_000;
+
+  byte[] write() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(invite.length + answer.length + 128);
+    try (DataOutputStream data = new DataOutputStream(out)) {
+      data.writeUTF(hop.transport().name());
+      data.writeUTF(hop.host());
+      data.writeInt(hop.port());
+      data.writeUTF(tag);
+      data.writeBoolean(acknowledged);
+      data.writeBoolean(progress != null);
+      if (progress != null) {
+        data.writeLong(progress.local());
+        data.writeLong(progress.remote());
+        data.writeUTF(progress.target());
+      }
+      data.writeInt(invite.length);
+      data.write(invite);
+      data.writeInt(answer.length);
+      data.write(answer);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+
+  static LegRecord read(byte[] octets) {
+    try (DataInputStream data = new DataInputStream(new ByteArrayInputStream(octets))) {
+      Hop hop = new Hop(Transport.named(data.readUTF()), data.readUTF(), data.readInt());
+      String tag = data.readUTF();
+      boolean acknowledged = data.readBoolean();
+      Dialog.Progress progress =
+          data.readBoolean()
+              ? new Dialog.Progress(data.readLong(), data.readLong(), data.readUTF())
+              : null;
+      byte[] invite = data.readNBytes(data.readInt());
+      byte[] answer = data.readNBytes(data.readInt());
+      return new LegRecord(hop, tag, acknowledged, progress, invite, answer);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("a kept leg is cut short", e);
+    }
+  }
+
+  LegRecord with(boolean nowAcknowledged, Dialog.Progress now) {
+    return new LegRecord(hop, tag, nowAcknowledged, now, invite, answer);
+  }
+
+  SipRequest request() {
+    return (SipRequest) parse(invite);
+  }
+
+  SipResponse response() {
+    return (SipResponse) parse(answer);
+  }
+
+  private static coveladder.sip.SipMessage parse(byte[] octets) {
+    try {
+      return new SipParser(HEADERS).parse(octets);
+    } catch (SipParseException e) {
+      throw new IllegalArgumentException("a kept message is no message: " + e.getMessage(), e);
+    }
+  }
+}
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -10,6 +10,9 @@
 import coveladder.core.FinalAnswer;
 import coveladder.core.LoadReports;
 import coveladder.core.Signalling;
+import coveladder.core.recovery.CallStore;
+import coveladder.core.recovery.Recovery;
+import coveladder.core.recovery.WriteAhead;
 import coveladder.sip.CallLeg;
 import coveladder.sip.CallListener;
 import coveladder.sip.ClientTransaction;
@@ -32,6 +35,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /**
  * One call controller as SIP peers see it: callers' INVITEs become calls of the core, what the core
@@ -53,12 +57,15 @@
   private final Subscriber list;
   private final Subscriber circuits;
   private String circuitEpoch = "";
+  private final String base;
+  private WriteAhead writeAhead;
+  private Recovery recovery;
   private long sequence;
   private String badFeed = "";
   private Bridge taking;
 
   /**
-   * Makes a controller. It does nothing before {@link #start}.
+   * Makes a controller whose calls do not survive a restart. It does nothing before {@link #start}.
    *
    * @param policies makes the policy that decides
    */
@@ -69,16 +76,74 @@
       AttemptGuard guard,
       CallController.Journal journal,
       Function<CallPolicy.Actions, CallPolicy> policies) {
+    this(host, settings, rules, guard, journal, policies, null);
+  }
+
+  /**
+   * Makes a controller. It does nothing before {@link #start}.
+   *
+   * @param policies makes the policy that decides
+   * @param keeping where calls are kept, and how a start goes on from it; null: nowhere
+   */
+  public SipFront(
+      SipHost host,
+      FrontSettings settings,
+      CallPolicy.Settings rules,
+      AttemptGuard guard,
+      CallController.Journal journal,
+      Function<CallPolicy.Actions, CallPolicy> policies,
+      Keeping keeping) {
     this.host = host;
     this.settings = settings;
     this.clock = new HostClock(host);
     this.stack = new SipStack(host, settings.timing(), settings.limits(), this);
-    this.controller = new CallController(rules, this, guard, journal, policies);
+    this.base = stack.agent().newTag() + '-';
+    if (keeping == null) {
+      this.controller = new CallController(rules, this, guard, journal, policies);
+    } else {
+      SavedLegs legs = new SavedLegs(this, keeping.wallClock());
+      double life = settings.timing().life();
+      this.writeAhead = new WriteAhead(this, legs, keeping.store(), life);
+      CallController.Journal both = new KeepingJournal(journal, writeAhead);
+      this.controller = new CallController(rules, writeAhead, guard, both, policies);
+      writeAhead.controller(controller);
+      this.recovery =
+          new Recovery(controller, writeAhead, keeping.store(), legs, clock, keeping.budget());
+    }
     this.list = subscriber(LIST_EVENT, settings.listServer(), new ListWatcher());
     this.circuits = subscriber(CIRCUIT_EVENT, settings.ownSwitch(), new CircuitWatcher());
     stack.agent().layer().offerOverloadControl();
   }
 
+  /**
+   * Where calls are kept.
+   *
+   * @param store the store
+   * @param budget what recovery may send
+   * @param wallClock ms since 1970
+   */
+  public record Keeping(CallStore store, Recovery.Budget budget, LongSupplier wallClock) {}
+
+  /** What goes on after a restart; null where calls are not kept. */
+  public Recovery recovery() {
+    return recovery;
+  }
+
+  Bridge bridge(String call) {
+    return bridges.get(call);
+  }
+
+  void hold(String call, Bridge bridge) {
+    bridges.put(call, bridge);
+  }
+
+  /** Something of a call that stands has changed. */
+  void changed(String call) {
+    if (writeAhead != null && bridges.containsKey(call)) {
+      writeAhead.changed(call);
+    }
+  }
+
   private Subscriber subscriber(String event, Hop at, Subscriber.Watcher watcher) {
     String target = "sip:" + event + '@' + at.host() + ':' + at.port();
     String self = "sip:controller@" + settings.domain();
@@ -88,6 +153,9 @@
   /** Begins: subscribes and starts the policy. */
   @Override
   public void start() {
+    if (recovery != null) {
+      recovery.begin();
+    }
     controller.start();
     circuits.subscribe();
   }
@@ -185,7 +253,7 @@
       return null;
     }
     sequence++;
-    String id = Long.toHexString(sequence);
+    String id = base + sequence;
     taking = new Bridge(this, id, isFromOwnSwitch(leg), leg);
     bridges.put(id, taking);
     return taking.callerSide();
@@ -198,7 +266,7 @@
     SipUri uri = SipUri.parse(invite.uri());
     int type = settings.classes().classOf(invite, uri.user());
     int cause = ReasonField.of(invite).cause();
-    String id = Long.toHexString(sequence);
+    String id = base + sequence;
     Call call =
         new Call(
             id,
