--- a/app/src/main/java/coveladder/app/Daemon.java
+++ b/app/src/main/java/coveladder/app/Daemon.java
@@ -5,16 +5,22 @@
 import com.sun.net.httpserver.HttpServer;
 import coveladder.NestedThresholdPolicy;
 import coveladder.core.AttemptGuard;
+import coveladder.core.recovery.Recovery;
+import coveladder.core.recovery.SavedCall.Phase;
 import coveladder.net.EventLoop;
 import coveladder.net.SocketNode;
 import coveladder.net.Sockets;
 import coveladder.sipfront.SipFront;
+import coveladder.store.DiskStore;
+import coveladder.store.SteadyClock;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +32,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
   private static final int QUEUE = 100_000;
   private static final double LOOK_EVERY = 20;
+  private static final double LOOK_RECOVERY = 500;
   private static final double BYE_TIME = 300;
 
   private final Sockets sockets;
@@ -36,15 +43,19 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final CountDownLatch ended = new CountDownLatch(1);
   private final AttemptGuard guard;
+  private final DiskStore store;
+  private ControlSocket control;
   private HttpServer http;
   private Settings settings;
   private boolean ending;
+  private volatile boolean handedOver;
 
-  /** Binds everything and begins to take calls. */
-  public Daemon(Settings settings) throws IOException {
+  /** Opens what is kept, binds everything and begins to take calls. */
+  public Daemon(Settings settings) throws IOException, DiskStore.Unusable {
     this.settings = settings;
-    sockets = new Sockets(2);
     loop = new EventLoop("controller", System.nanoTime(), QUEUE);
+    store = settings.state() == null ? null : openStore(settings.state().folder());
+    sockets = new Sockets(2);
     try {
       node =
           new SocketNode(
@@ -57,8 +68,15 @@
       if (settings.metrics() != null) {
         http = metricsServer(settings);
       }
+      if (store != null) {
+        control = new ControlSocket(settings.state().folder());
+        control.serve("hand-over", this::handOver);
+      }
     } catch (IOException e) {
       sockets.close();
+      if (store != null) {
+        store.close();
+      }
       throw e;
     }
     guard = new AttemptGuard(settings.calls().guard(), settings.calls().grace());
@@ -70,13 +88,76 @@
             settings.rules(),
             guard,
             new CallLog(meters, names),
-            actions -> new NestedThresholdPolicy(settings.rules(), settings.seed(), actions));
+            actions -> new NestedThresholdPolicy(settings.rules(), settings.seed(), actions),
+            store == null ? null : keeping(settings));
     gauges();
+    if (store != null) {
+      storeGauges();
+    }
     loop.start();
     node.start(front);
+    if (store != null) {
+      loop.execute(this::reportFound);
+    }
     LOG.info("controller runs", kv("domain", settings.domain()), kv("port", node.port()));
   }
 
+  private DiskStore openStore(Path folder) throws IOException, DiskStore.Unusable {
+    long begun = System.nanoTime();
+    DiskStore opened = new DiskStore(folder, loop::execute);
+    long millis = (System.nanoTime() - begun) / 1_000_000;
+    LOG.info("state opened", kv("folder", folder), kv("millis", millis));
+    opened.found().damaged().forEach(what -> LOG.error("set aside: {}", what));
+    if (opened.found().behind()) {
+      LOG.warn(
+          "calls had gone on unkept before this start: those set-ups are called off unanswered");
+    }
+    return opened;
+  }
+
+  private SipFront.Keeping keeping(Settings from) throws IOException {
+    SteadyClock clock = SteadyClock.of(from.state().folder());
+    return new SipFront.Keeping(store, from.state().budget(), clock);
+  }
+
+  private void storeGauges() {
+    Gauge.builder("coveladder.state.calls", front, f -> f.writeAhead().size()).register(meters);
+    Gauge.builder("coveladder.state.unkept", front, f -> f.writeAhead().unkept()).register(meters);
+    Gauge.builder("coveladder.state.waiting", store, DiskStore::waiting).register(meters);
+    Gauge.builder("coveladder.state.commits", store, DiskStore::commits).register(meters);
+    Gauge.builder("coveladder.state.failures", store, DiskStore::failures).register(meters);
+    Gauge.builder("coveladder.state.failing", store, s -> s.failure().isEmpty() ? 0 : 1)
+        .register(meters);
+    Gauge.builder("coveladder.recovery.open", front, f -> f.recovery().done() ? 0 : 1)
+        .register(meters);
+    Gauge.builder("coveladder.recovery.gone", front, f -> f.recovery().gone()).register(meters);
+  }
+
+  /** Says what a start found, and once more when all of it is settled. */
+  private void reportFound() {
+    Recovery recovery = front.recovery();
+    LOG.info(
+        "going on from state",
+        kv("standing", recovery.found(Phase.STANDS)),
+        kv("cutShort", recovery.found(Phase.SETTING_UP)),
+        kv("answersOnTheirWay", recovery.found(Phase.ANSWERED)),
+        kv("damaged", recovery.damaged()));
+    watchRecovery();
+  }
+
+  private void watchRecovery() {
+    Recovery recovery = front.recovery();
+    if (recovery.done()) {
+      LOG.info(
+          "recovery done",
+          kv("answered", recovery.answered()),
+          kv("gone", recovery.gone()),
+          kv("after", Math.round(loop.now())));
+    } else {
+      loop.after(LOOK_RECOVERY, this::watchRecovery);
+    }
+  }
+
   private HttpServer metricsServer(Settings from) throws IOException {
     InetSocketAddress at = new InetSocketAddress(from.metrics().host(), from.metrics().port());
     HttpServer server = HttpServer.create(at, 16);
@@ -136,6 +217,9 @@
    * off, then releases what stands. Returns once all is done, within the drain time and a little.
    */
   public void shutDown() throws InterruptedException {
+    if (handedOver) {
+      return;
+    }
     loop.put(this::beginEnd);
     long most = (long) (settings.calls().drain() + 3 * BYE_TIME);
     if (!ended.await(most, TimeUnit.MILLISECONDS)) {
@@ -145,6 +229,43 @@
     close();
   }
 
+  /**
+   * Leaves all that stands to another process: takes nothing new, lets set-ups in flight come to
+   * their end within the drain time, closes all sockets and says so. What is still in flight then
+   * is found by the other process as after a kill.
+   */
+  private void handOver(PrintWriter answers) throws InterruptedException {
+    answers.println("draining");
+    CountDownLatch drained = new CountDownLatch(1);
+    loop.put(
+        () -> {
+          LOG.info("handing over", kv("unanswered", front.controller().unanswered()));
+          ending = true;
+          front.drain();
+          watchDrain(loop.now() + settings.calls().drain(), drained);
+        });
+    drained.await((long) settings.calls().drain() + 1_000, TimeUnit.MILLISECONDS);
+    handedOver = true;
+    node.close();
+    answers.println("released " + System.nanoTime());
+    closeRest();
+    ended.countDown();
+  }
+
+  private void watchDrain(double until, CountDownLatch drained) {
+    boolean busy = front.controller().unanswered() + front.controller().outstanding() > 0;
+    if (busy && loop.now() < until) {
+      loop.after(LOOK_EVERY / 4, () -> watchDrain(until, drained));
+    } else {
+      loop.after(LOOK_EVERY, drained::countDown);
+    }
+  }
+
+  /** Waits until this process was asked to end or has handed over. */
+  public void awaitEnd() throws InterruptedException {
+    ended.await();
+  }
+
   private void beginEnd() {
     if (!ending) {
       ending = true;
@@ -167,6 +288,17 @@
   @Override
   public void close() {
     node.close();
+    closeRest();
+  }
+
+  /** The store closes while the loop runs: those who wait for the disk are told there. */
+  private void closeRest() {
+    if (control != null) {
+      control.close();
+    }
+    if (store != null) {
+      store.close();
+    }
     loop.close();
     sockets.close();
     if (http != null) {
--- a/app/src/main/java/coveladder/app/Main.java
+++ b/app/src/main/java/coveladder/app/Main.java
@@ -1,5 +1,6 @@
 package coveladder.app;
 
+import coveladder.store.DiskStore;
 import java.io.IOException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -16,7 +17,8 @@
       CheckCommand.class,
       StandinCommand.class,
       CallCommand.class,
-      RehearseCommand.class
+      RehearseCommand.class,
+      StateCommand.class
     })
 public final class Main implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
@@ -37,7 +39,9 @@
   /** What a user did wrong is told in a line or two, not by a stack trace. */
   private static int explain(Exception e, CommandLine line, CommandLine.ParseResult parsed)
       throws Exception {
-    if (e instanceof SettingsFile.Unusable || e instanceof IOException) {
+    if (e instanceof SettingsFile.Unusable
+        || e instanceof DiskStore.Unusable
+        || e instanceof IOException) {
       boolean missing = e instanceof java.nio.file.NoSuchFileException;
       line.getErr().println(missing ? "no such file: " + e.getMessage() : e.getMessage());
       return 2;
--- a/app/src/main/java/coveladder/app/RunCommand.java
+++ b/app/src/main/java/coveladder/app/RunCommand.java
@@ -3,11 +3,12 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 /** Runs one controller until SIGTERM. */
 @Command(
@@ -23,26 +24,34 @@
       description = "settings, a KDL document")
   private Path config;
 
+  @Option(
+      names = "--take-over",
+      description = "take the calls of the controller that runs on the same state folder")
+  private boolean takeOver;
+
+  @Spec private CommandSpec spec;
+
   @Override
   public Integer call() throws Exception {
     Settings settings = SettingsFile.read(config);
     LogLevel.set(settings.logLevel());
-    Daemon daemon = new Daemon(settings);
-    CountDownLatch done = new CountDownLatch(1);
+    if (takeOver && settings.state() == null) {
+      spec.commandLine().getErr().println("--take-over needs a state folder in the settings");
+      return 2;
+    }
+    Daemon daemon = takeOver ? TakeOver.from(settings) : new Daemon(settings);
     Signals.on("HUP", () -> reload(daemon));
-    Thread end = new Thread(() -> end(daemon, done), "end");
-    Runtime.getRuntime().addShutdownHook(end);
-    done.await();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> end(daemon), "end"));
+    daemon.awaitEnd();
     return 0;
   }
 
-  private static void end(Daemon daemon, CountDownLatch done) {
+  private static void end(Daemon daemon) {
     try {
       daemon.shutDown();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    done.countDown();
   }
 
   /** A file that cannot be used changes nothing. */
--- a/app/src/main/java/coveladder/app/Settings.java
+++ b/app/src/main/java/coveladder/app/Settings.java
@@ -3,12 +3,15 @@
 import coveladder.CallPolicy;
 import coveladder.CallPolicy.CallClass;
 import coveladder.CallPolicy.Layout;
+import coveladder.core.recovery.RecoveryPace;
 import coveladder.net.SocketLimits;
 import coveladder.sip.Hop;
 import coveladder.sip.SipStack;
 import coveladder.sip.Timing;
+import coveladder.sip.Transport;
 import coveladder.sipfront.ClassTable;
 import coveladder.sipfront.FrontSettings;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -28,6 +31,7 @@
  * @param timing SIP timers
  * @param limits bounds of the stack
  * @param sockets bounds of the sockets
+ * @param state where calls are kept; null: nowhere, and they do not survive a restart
  * @param metrics where metrics are read over HTTP; null: nowhere
  * @param logLevel least level that is logged
  * @param seed seed of all random choices
@@ -45,6 +49,7 @@
     Timing timing,
     SipStack.Limits limits,
     SocketLimits sockets,
+    State state,
     Hop metrics,
     String logLevel,
     long seed) {
@@ -101,6 +106,19 @@
    */
   public record Cold(double from, double ramp, double multiple, double window) {}
 
+  /**
+   * Where calls are kept, and how a start goes on with them.
+   *
+   * @param folder the folder
+   * @param perSecond calls a second that recovery may deal with
+   * @param askAfter time until standing calls are asked after, ms
+   */
+  public record State(Path folder, double perSecond, double askAfter) {
+    RecoveryPace.Budget budget() {
+      return new RecoveryPace.Budget(perSecond, askAfter);
+    }
+  }
+
   /** What the policy is told. */
   public CallPolicy.Settings rules() {
     return new CallPolicy.Settings(
@@ -138,6 +156,28 @@
         limits);
   }
 
+  /** The same on any free port, with its state in a folder and its neighbours at a port. */
+  Settings elsewhere(Path folder, int port) {
+    Hop nobody = new Hop(Transport.UDP, "127.0.0.1", port);
+    return new Settings(
+        new Hop(Transport.UDP, "127.0.0.1", 0),
+        domain,
+        number,
+        instances,
+        nobody,
+        nobody,
+        classes,
+        calls,
+        cold,
+        timing,
+        limits,
+        sockets,
+        new State(folder, state.perSecond(), state.askAfter()),
+        null,
+        logLevel,
+        seed);
+  }
+
   private ClassTable classTable() {
     List<String> names = new ArrayList<>();
     List<String> priorities = new ArrayList<>();
@@ -167,6 +207,7 @@
     note(names, "timers", timing, other.timing);
     note(names, "limits", limits, other.limits);
     note(names, "limits", sockets, other.sockets);
+    note(names, "state", state, other.state);
     note(names, "metrics", metrics, other.metrics);
     note(names, "seed", seed, other.seed);
     note(
--- a/app/src/main/java/coveladder/app/SettingsFile.java
+++ b/app/src/main/java/coveladder/app/SettingsFile.java
@@ -32,6 +32,7 @@
           "cold",
           "timers",
           "limits",
+          "state",
           "metrics",
           "log",
           "seed");
@@ -145,6 +146,7 @@
             timing(),
             stack(limits),
             sockets(limits),
+            nodes.containsKey("state") ? state() : null,
             nodes.containsKey("metrics") ? place("metrics", false, 0) : null,
             level,
             drawn);
@@ -152,6 +154,18 @@
     return made;
   }
 
+  private Settings.State state() {
+    Section section = section("state");
+    section.noArguments();
+    Settings.State made =
+        new Settings.State(
+            Path.of(section.text("folder", null)),
+            section.number("recover-per-second", 200, 1, 100_000),
+            section.number("ask-after", 2_000, 0, HOUR));
+    section.done();
+    return made;
+  }
+
   private Hop place(String name, boolean chosen, int leastPort) {
     Section section = section(name);
     section.noArguments();
--- /dev/null
+++ b/app/src/main/java/coveladder/app/TakeOver.java
@@ -0,0 +1,90 @@
+package coveladder.app;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import coveladder.store.DiskStore;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes the calls of a running controller over, for an upgrade: this process is up and has read its
+ * settings before the other lets go of its sockets and its state.
+ */
+final class TakeOver {
+  private static final Logger LOG = LoggerFactory.getLogger(TakeOver.class);
+  private static final long LOOK = 2_000_000;
+  private static final long WITHIN = 10_000_000_000L;
+
+  private TakeOver() {}
+
+  /** Starts a controller in place of the one that has its state folder, if there is one. */
+  static Daemon from(Settings settings) throws IOException, DiskStore.Unusable {
+    warmUp(settings);
+    long released = askToLetGo(settings);
+    if (released == 0) {
+      LOG.info("no controller has the state folder; this is a plain start");
+      return new Daemon(settings);
+    }
+    Daemon daemon = start(settings);
+    double pause = (System.nanoTime() - released) / 1e6;
+    LOG.info("took over", kv("listeningPauseMillis", Math.round(pause * 10) / 10.0));
+    return daemon;
+  }
+
+  /**
+   * Runs a controller for a moment, on other ports and an empty folder, so that what has to be
+   * loaded is there before the other one lets go.
+   */
+  private static void warmUp(Settings settings) throws IOException, DiskStore.Unusable {
+    Path folder = Files.createTempDirectory("coveladder-warm");
+    LogLevel.set("error");
+    try (DatagramSocket nobody = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      new Daemon(settings.elsewhere(folder, nobody.getLocalPort())).close();
+    } finally {
+      LogLevel.set(settings.logLevel());
+      try (Stream<Path> files = Files.list(folder)) {
+        for (Path file : files.toList()) {
+          Files.deleteIfExists(file);
+        }
+      }
+      Files.delete(folder);
+    }
+  }
+
+  /** When the other closed its sockets, by the machine's count of time, ns; 0: there is none. */
+  private static long askToLetGo(Settings settings) throws IOException {
+    try (ControlSocket.Line line =
+        ControlSocket.Line.give(settings.state().folder(), "hand-over")) {
+      String told = line == null ? null : line.next();
+      while (told != null) {
+        if (told.startsWith("released ")) {
+          return Long.parseLong(told.substring(9));
+        }
+        told = line.next();
+      }
+      return 0;
+    }
+  }
+
+  /** The other may still be closing its file: tries until the folder is free. */
+  private static Daemon start(Settings settings) throws IOException, DiskStore.Unusable {
+    long until = System.nanoTime() + WITHIN;
+    while (true) {
+      try {
+        return new Daemon(settings);
+      } catch (DiskStore.Unusable e) {
+        if (System.nanoTime() > until) {
+          throw e;
+        }
+        LockSupport.parkNanos(LOOK);
+      }
+    }
+  }
+}
--- a/core/src/main/java/coveladder/core/CallController.java
+++ b/core/src/main/java/coveladder/core/CallController.java
@@ -385,12 +385,17 @@
 
   // ---- The end ------------------------------------------------------------------------------
 
+  /** Takes nothing new: calls that come are refused, those in flight go on. */
+  public void drain() {
+    ending = true;
+  }
+
   /**
    * Takes nothing new and gives each call in flight its one final answer. Attempts out are called
    * off; calls that stand go on without this controller's decisions.
    */
   public void shutDown() {
-    ending = true;
+    drain();
     for (HeldCall held : new ArrayList<>(calls.values())) {
       if (!held.answered()) {
         finalAnswer(held, new FinalAnswer(FinalAnswer.Kind.SHUT_DOWN, 0, Reason.NONE));
--- a/core/src/main/java/coveladder/core/recovery/CallStore.java
+++ b/core/src/main/java/coveladder/core/recovery/CallStore.java
@@ -24,11 +24,18 @@
   /** What was found when the store was opened. */
   Found found();
 
+  /**
+   * Names who puts everything once more when the store, after a failure, has begun anew and is
+   * empty; runs on the controller's thread.
+   */
+  void begunAnew(Runnable putAll);
+
   /**
    * What a store held at its opening.
    *
    * @param calls calls that could be read
    * @param damaged what could not, each with its reason; it was set aside
+   * @param behind whether calls had gone on unkept, so that what was found may be out of date
    */
-  record Found(List<SavedCall> calls, List<String> damaged) {}
+  record Found(List<SavedCall> calls, List<String> damaged, boolean behind) {}
 }
--- a/core/src/main/java/coveladder/core/recovery/Legs.java
+++ b/core/src/main/java/coveladder/core/recovery/Legs.java
@@ -2,6 +2,7 @@
 
 import coveladder.core.AttemptOrder;
 import coveladder.core.FinalAnswer;
+import java.util.function.Consumer;
 
 /** What recovery needs of the protocol front: legs as octets, and legs made from octets again. */
 public interface Legs {
@@ -24,7 +25,7 @@
   /** A final answer other than 2xx as it will leave, so that it can leave again alike. */
   byte[] finalAnswer(String call, FinalAnswer answer);
 
-  /** Wall clock, ms since 1970; it may have been set back since it was last read. */
+  /** Clock that goes on across restarts, ms; it may have been set since the one before. */
   long wallClock();
 
   // ---- After a restart ----------------------------------------------------------------------
@@ -32,14 +33,30 @@
   /** Makes both legs of a call that stands; what its caller is owed is sent until it is taken. */
   void resume(SavedCall saved);
 
-  /** Asks both ends of a resumed call whether they still hold it; one that does not ends it. */
-  void verify(String call);
+  /** Asks one end of a resumed call whether it still holds it. */
+  void verify(String call, boolean ofCaller, Consumer<Held> told);
+
+  /** Lets a resumed call go that one end does not hold any more. */
+  void letGo(String call, boolean ofCaller);
+
+  /** Whether an end of a call holds it. */
+  enum Held {
+    /** It said so, or cannot be busy and gone at a time. */
+    YES,
+    /** It does not know the call. */
+    GONE,
+    /** No answer, or no way to it: it may be starting too. */
+    UNSURE
+  }
+
+  /** Calls off the attempt that may be out; {@code over} runs once it is known to be over. */
+  void callOff(SavedCall saved, Runnable over);
 
   /**
-   * Makes the caller's leg of a set-up that was cut short, so that repeats of its INVITE find it,
-   * and calls off the attempt that may be out. {@code over} runs once that is known to be over.
+   * Makes the caller's leg of a set-up that was cut short, so that repeats of its INVITE begin no
+   * second call and its CANCEL is answered; nothing is sent by that.
    */
-  void callOff(SavedCall saved, Runnable over);
+  void expectCaller(SavedCall saved);
 
   /** Gives the caller of a set-up that was cut short its one final answer. */
   void answerCutShort(SavedCall saved, FinalAnswer answer);
--- a/core/src/main/java/coveladder/core/recovery/Recovery.java
+++ b/core/src/main/java/coveladder/core/recovery/Recovery.java
@@ -3,47 +3,40 @@
 import coveladder.CallPolicy.Reason;
 import coveladder.core.CallController;
 import coveladder.core.Clockwork;
+import coveladder.core.ExchangeList;
 import coveladder.core.FinalAnswer;
 import coveladder.core.recovery.SavedCall.Phase;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
  * Goes on after a restart with what the store held. Calls that stand are held again at once, which
  * sends nothing; set-ups that were cut short are called off and their callers answered; answers on
- * their way are sent once more. All that sends keeps to a budget, so that controllers which come
- * back together do not push over a processor that has just started, and new calls keep their share.
+ * their way are sent once more. All that sends keeps to a pace.
  */
 public final class Recovery {
+  private static final int ASKED_MOST = 3;
+  private static final double ASK_AGAIN = 5_000;
+
   private final CallController controller;
   private final WriteAhead writeAhead;
   private final CallStore store;
   private final Legs legs;
   private final Clockwork clock;
-  private final Budget budget;
+  private final RecoveryPace pace;
   private final ArrayDeque<SavedCall> urgent = new ArrayDeque<>();
-  private final ArrayDeque<String> standing = new ArrayDeque<>();
+  private final ArrayDeque<Question> standing = new ArrayDeque<>();
   private final Map<Phase, Integer> counts = new HashMap<>();
+  private boolean behind;
   private int outstanding;
+  private int unsettled;
   private int damaged;
+  private int answered;
+  private int gone;
 
-  /**
-   * How much recovery may send.
-   *
-   * @param perSecond calls a second that are called off, answered again or asked after
-   * @param firstAfter time until the first is asked after, ms: peers come back too
-   */
-  public record Budget(double perSecond, double firstAfter) {
-    /** Checks the figures. */
-    public Budget {
-      if (!(perSecond > 0) || !(firstAfter >= 0)) {
-        throw new IllegalArgumentException(
-            "unusable recovery budget " + perSecond + " a second after " + firstAfter + " ms");
-      }
-    }
-  }
+  /** An end of a call that is to be asked after, and how often it was. */
+  private record Question(String call, boolean ofCaller, int asked) {}
 
   /** Makes it; nothing happens before {@link #begin}. */
   public Recovery(
@@ -52,43 +45,57 @@
       CallStore store,
       Legs legs,
       Clockwork clock,
-      Budget budget) {
+      RecoveryPace pace) {
     this.controller = controller;
     this.writeAhead = writeAhead;
     this.store = store;
     this.legs = legs;
     this.clock = clock;
-    this.budget = budget;
+    this.pace = pace;
   }
 
   /** Holds again what stood and begins to end the rest. Before the controller takes new calls. */
   public void begin() {
     CallStore.Found found = store.found();
     damaged = found.damaged().size();
-    List<SavedCall> calls = found.calls();
-    for (SavedCall saved : calls) {
+    behind = found.behind();
+    for (SavedCall saved : found.calls()) {
       counts.merge(saved.phase(), 1, Integer::sum);
       if (saved.phase() == Phase.STANDS) {
         resume(saved);
       } else {
-        urgent.add(saved);
+        expect(saved);
       }
     }
     clock.after(0, this::nextUrgent);
-    clock.after(budget.firstAfter(), this::nextStanding);
+    clock.after(pace.firstAfter(), this::nextStanding);
   }
 
   private void resume(SavedCall saved) {
     writeAhead.adopt(saved);
     controller.resume(saved.call(), saved.attempt(), saved.exchange());
     legs.resume(saved);
-    standing.add(saved.id());
+    standing.add(new Question(saved.id(), true, 0));
+    standing.add(new Question(saved.id(), false, 0));
+    unsettled += 2;
+  }
+
+  /** However many wait, each caller is known from the first moment: its repeat is no new call. */
+  private void expect(SavedCall saved) {
+    legs.expectCaller(saved);
+    urgent.add(saved);
+    if (behind) {
+      store.put(saved.withoutDeadline());
+    }
   }
 
   private double gap() {
-    return 1000 / budget.perSecond();
+    ExchangeList.Entry own = controller.list().byNumber(controller.settings().self());
+    return pace.gap(clock.now(), own == null ? 0 : own.started());
   }
 
+  // ---- Set-ups cut short, answers on their way ------------------------------------------------
+
   /** Set-ups cut short and answers on their way come first: their callers wait. */
   private void nextUrgent() {
     SavedCall saved = urgent.poll();
@@ -106,34 +113,70 @@
 
   /**
    * The attempt may or may not have left: it is called off as if it had. The caller is answered at
-   * once, unless its time is up; no second attempt is made for it, so none can be out beside the
-   * first. It stays in the store until the attempt is known to be over, for a crash meanwhile.
+   * once, if it is known to wait still; no second attempt is made for it, so none can be out beside
+   * the first. It stays in the store until the attempt is known to be over, for a crash meanwhile.
    */
   private void cutShort(SavedCall saved) {
     outstanding++;
     legs.callOff(saved, () -> calledOff(saved));
-    if (legs.wallClock() < saved.deadline()) {
+    if (waitsStill(saved)) {
+      answered++;
       FinalAnswer answer = new FinalAnswer(FinalAnswer.Kind.SHUT_DOWN, 0, Reason.NONE);
       legs.answerCutShort(saved, answer);
     }
   }
 
+  /**
+   * A store that is behind may call a set-up what has been answered since: a second answer must not
+   * go out, nor after the next crash, when the store is in step again. A deadline further away than
+   * the whole patience says that the clock was set back.
+   */
+  private boolean waitsStill(SavedCall saved) {
+    long left = saved.deadline() - legs.wallClock();
+    return !behind && left > 0 && left <= saved.call().patience() + 1;
+  }
+
   private void calledOff(SavedCall saved) {
     outstanding--;
     store.remove(saved.id());
   }
 
+  // ---- Calls that stand -----------------------------------------------------------------------
+
   /** Asks after calls that stood, one by one: their ends may have left while nobody listened. */
   private void nextStanding() {
-    String id = standing.poll();
-    if (id != null) {
-      if (controller.call(id) != null) {
-        legs.verify(id);
-      }
-      clock.after(urgent.isEmpty() ? gap() : 2 * gap(), this::nextStanding);
+    Question next = standing.poll();
+    if (next != null) {
+      ask(next);
+      clock.after((urgent.isEmpty() ? 1 : 2) * gap() / 2, this::nextStanding);
     }
   }
 
+  private void ask(Question question) {
+    if (controller.call(question.call()) == null) {
+      unsettled--;
+    } else {
+      legs.verify(question.call(), question.ofCaller(), held -> told(question, held));
+    }
+  }
+
+  private void told(Question question, Legs.Held held) {
+    boolean isOver = controller.call(question.call()) == null;
+    boolean again = held == Legs.Held.UNSURE && question.asked() + 1 < ASKED_MOST;
+    if (isOver || held == Legs.Held.YES) {
+      unsettled--;
+    } else if (again) {
+      Question next = new Question(question.call(), question.ofCaller(), question.asked() + 1);
+      clock.after(ASK_AGAIN * next.asked(), () -> ask(next));
+    } else {
+      unsettled--;
+      gone++;
+      legs.letGo(question.call(), question.ofCaller());
+    }
+  }
+
+  // ---- Figures --------------------------------------------------------------------------------
+
   /** Calls found in a phase. */
   public int found(Phase phase) {
     return counts.getOrDefault(phase, 0);
@@ -144,8 +187,23 @@
     return damaged;
   }
 
+  /** Whether calls had gone on unkept before the restart. */
+  public boolean behind() {
+    return behind;
+  }
+
+  /** Callers of set-ups cut short that were answered. */
+  public int answered() {
+    return answered;
+  }
+
+  /** Calls released because an end did not hold them any more. */
+  public int gone() {
+    return gone;
+  }
+
   /** Whether all is done: nothing waits to be called off, answered or asked after. */
   public boolean done() {
-    return urgent.isEmpty() && standing.isEmpty() && outstanding == 0;
+    return urgent.isEmpty() && unsettled == 0 && outstanding == 0;
   }
 }
--- a/core/src/main/java/coveladder/core/recovery/SavedCall.java
+++ b/core/src/main/java/coveladder/core/recovery/SavedCall.java
@@ -41,6 +41,11 @@
     return call.id();
   }
 
+  /** The same, with a caller that is not known to wait. */
+  SavedCall withoutDeadline() {
+    return new SavedCall(call, phase, attempt, exchange, callerLeg, attemptLeg, answer, 0);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof SavedCall saved
--- a/core/src/main/java/coveladder/core/recovery/WriteAhead.java
+++ b/core/src/main/java/coveladder/core/recovery/WriteAhead.java
@@ -53,6 +53,12 @@
     this.store = store;
     this.clock = front.clockwork();
     this.answeredKept = answeredKept;
+    store.begunAnew(this::putAll);
+  }
+
+  /** The store failed and works again: all that is kept goes to it once more. */
+  private void putAll() {
+    kept.values().forEach(entry -> store.put(entry.saved));
   }
 
   /** Names the controller, which hears of attempts that were called off before they left. */
--- a/core/src/test/java/coveladder/core/recovery/CrashTest.java
+++ b/core/src/test/java/coveladder/core/recovery/CrashTest.java
@@ -132,7 +132,13 @@
               settings, writeAhead, new AttemptGuard(300, 250), journal, Simple::new);
       writeAhead.controller(controller);
       recovery =
-          new Recovery(controller, writeAhead, store, this, this, new Recovery.Budget(1_000, 10));
+          new Recovery(
+              controller,
+              writeAhead,
+              store,
+              this,
+              this,
+              new RecoveryPace(new RecoveryPace.Budget(1_000, 10), 0.3, 10_000));
       controller.start();
       ExchangeList.Entry far = new ExchangeList.Entry("e1", 1, "x1", "sip:s1", State.IN_SERVICE, 0);
       controller.listNews(new ExchangeList.News(true, 0, 1, List.of(far)));
@@ -270,17 +276,27 @@
     }
 
     @Override
-    public void verify(String call) {
+    public void verify(String call, boolean ofCaller, Consumer<Held> told) {
       boundary();
       int attempt = controller.call(call).attempts() - 1;
       boolean far = peers.attempts.getOrDefault(call + "/" + attempt, "").equals("stands");
-      if (!far) {
-        controller.attemptOver(call, attempt, Outcome.RESET, Reason.NONE, 0);
-      } else if (peers.hungUp.getOrDefault(call, false)) {
+      boolean left = peers.hungUp.getOrDefault(call, false);
+      told.accept((ofCaller ? !left : far) ? Held.YES : Held.GONE);
+    }
+
+    @Override
+    public void letGo(String call, boolean ofCaller) {
+      if (ofCaller) {
         controller.callerReleased(call);
+      } else {
+        int attempt = controller.call(call).attempts() - 1;
+        controller.attemptOver(call, attempt, Outcome.RESET, Reason.NONE, 0);
       }
     }
 
+    @Override
+    public void expectCaller(SavedCall saved) {}
+
     @Override
     public void callOff(SavedCall saved, Runnable over) {
       boundary();
@@ -492,6 +508,6 @@
 
   @Test
   void aBudgetOfNothingIsRefused() {
-    assertThrows(IllegalArgumentException.class, () -> new Recovery.Budget(0, 0));
+    assertThrows(IllegalArgumentException.class, () -> new RecoveryPace.Budget(0, 0));
   }
 }
--- a/core/src/test/java/coveladder/core/recovery/MemoryStore.java
+++ b/core/src/test/java/coveladder/core/recovery/MemoryStore.java
@@ -41,9 +41,12 @@
 
   @Override
   public Found found() {
-    return new Found(new ArrayList<>(safe.values()), List.of());
+    return new Found(new ArrayList<>(safe.values()), List.of(), false);
   }
 
+  @Override
+  public void begunAnew(Runnable putAll) {}
+
   /** The disk ends its work: all so far is safe, or is not, and those who wait hear of it. */
   void flush() {
     List<Consumer<Boolean>> told = new ArrayList<>(waiting);
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -89,6 +89,22 @@
     queue.put(task);
   }
 
+  /**
+   * Hands a task over that must not be lost: from another thread it waits for room, on the loop's
+   * own it becomes a timer that is due.
+   */
+  public void execute(Runnable task) {
+    if (Thread.currentThread() == thread) {
+      after(0, task);
+      return;
+    }
+    try {
+      put(task);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Sets a timer, on the loop's thread or before it runs. */
   public SipHost.Timer after(double delay, Runnable task) {
     Due due = new Due(now() + delay, sequence++, task);
--- a/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
@@ -3,7 +3,7 @@
 import coveladder.CallPolicy.State;
 import coveladder.core.CallController;
 import coveladder.core.ExchangeList;
-import coveladder.core.recovery.Recovery;
+import coveladder.core.recovery.RecoveryPace;
 import coveladder.sip.Hop;
 import coveladder.sip.SipHost;
 import coveladder.sip.SipStack;
@@ -14,9 +14,11 @@
 import coveladder.sipfront.SipFront;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 /** One real controller between a caller and a switch that a test plays by hand. */
 final class ControllerBed {
+  static final double SYNC = 1;
   static final String TCP = "TCP";
 
   final SimWorld world = new SimWorld(5);
@@ -24,8 +26,9 @@
   final RawNode ownSwitch = world.add("switch", "x", RawNode::new);
   final RawNode listServer = world.add("list", "x", RawNode::new);
   final Hop place;
-  final KeptInMemory disk = new KeptInMemory();
+  final SimDisk disk = new SimDisk(new SplittableRandom(3), SYNC, SYNC, () -> {});
   SipFront front;
+  double clockStep;
   private FrontSettings settings;
   private final FleetPlan plan = FleetPlan.eight().sized(4, 1);
   private final boolean keeps;
@@ -58,7 +61,7 @@
   }
 
   private SipFront make(SipHost host) {
-    disk.clock(host);
+    disk.into(host);
     return new SipFront(
         host,
         settings,
@@ -67,10 +70,14 @@
         CallController.Journal.NONE,
         Tampering.NONE.maker(plan.rules(0), 3),
         keeps
-            ? new SipFront.Keeping(disk, new Recovery.Budget(1_000, 100), () -> (long) world.now())
+            ? new SipFront.Keeping(disk, new RecoveryPace.Budget(1_000, 100), () -> clock())
             : null);
   }
 
+  private long clock() {
+    return (long) (world.now() + clockStep);
+  }
+
   /** Kills the controller and starts it again from what was safe; the list comes anew. */
   void restart(double downFor) {
     world.kill("controller");
--- a/rehearsal/src/test/java/coveladder/rehearsal/RestartTest.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/RestartTest.java
@@ -108,7 +108,7 @@
     bed.invite("c1", 4);
     bed.run(20);
     bed.ownSwitch.answer(bed.attempts().get(0), "200 OK", "far", "");
-    bed.run(1 + KeptInMemory.SYNC / 2);
+    bed.run(1 + ControllerBed.SYNC / 2);
     assertEquals(List.of(), bed.finals());
     bed.disk.flush();
     bed.restart(100);
@@ -122,7 +122,7 @@
   @Test
   void killedBeforeTheWriteOfTheAttemptNothingIsKnownAndNothingLeft() {
     bed.invite("c1", 4);
-    bed.run(1 + KeptInMemory.SYNC / 2);
+    bed.run(1 + ControllerBed.SYNC / 2);
     bed.restart(100);
     bed.run(100);
     assertEquals(0, bed.attempts().size());
@@ -135,7 +135,7 @@
     bed.invite("c1", 4);
     bed.run(20);
     bed.ownSwitch.answer(bed.attempts().get(0), "404 No", "t", "");
-    bed.run(1 + KeptInMemory.SYNC / 2);
+    bed.run(1 + ControllerBed.SYNC / 2);
     bed.disk.flush();
     bed.restart(100);
     bed.run(50);
--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -322,6 +322,16 @@
     }
   }
 
+  /**
+   * Lets go of an INVITE that will not be answered here; its caller had its answer, or has left.
+   */
+  public void abandon() {
+    if (!caller && state == State.CALLING) {
+      end();
+      ((InviteServerTransaction) server).abandon();
+    }
+  }
+
   void cancelled() {
     if (!caller && state == State.CALLING) {
       reject(response(487));
--- a/sip/src/main/java/coveladder/sip/InviteServerTransaction.java
+++ b/sip/src/main/java/coveladder/sip/InviteServerTransaction.java
@@ -28,6 +28,25 @@
     trying = after(TRYING_AFTER, this::sayTrying);
   }
 
+  /** Says nothing of itself: the caller may have had its answer before a restart. */
+  void keepQuiet() {
+    trying.cancel();
+  }
+
+  /** Its 2xx was sent and acknowledged before a restart: repeats of it are absorbed. */
+  void takeAsAccepted() {
+    state = State.ACCEPTED;
+    after(timing.life(), this::finish);
+  }
+
+  /** Ends without any answer: the caller had one, or has left. */
+  void abandon() {
+    if (state == State.PROCEEDING) {
+      trying.cancel();
+      finish();
+    }
+  }
+
   private void sayTrying() {
     if (state == State.PROCEEDING && !provisionalSent) {
       respond(request().response(100));
--- a/sip/src/main/java/coveladder/sip/TransactionLayer.java
+++ b/sip/src/main/java/coveladder/sip/TransactionLayer.java
@@ -137,8 +137,9 @@
   /**
    * Takes an INVITE, after a restart, that came before it, so that its repeats find a transaction.
    */
-  ServerTransaction revive(SipRequest invite, Hop source) {
+  InviteServerTransaction revive(SipRequest invite, Hop source) {
     InviteServerTransaction made = new InviteServerTransaction(this, invite, source, host.now());
+    made.keepQuiet();
     hold(serverKey(invite, "INVITE"), made);
     initial.put(mergeKey(invite), serverKey(invite, "INVITE"));
     return made;
--- a/sip/src/main/java/coveladder/sip/UserAgent.java
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -150,10 +150,10 @@
       boolean acknowledged,
       Dialog.Progress kept,
       CallListener listener) {
-    ServerTransaction server = layer.revive(invite, source);
+    InviteServerTransaction server = layer.revive(invite, source);
     CallLeg leg = new CallLeg(this, server, answered.toTag(), listener);
     if (acknowledged) {
-      server.respond(answered);
+      server.takeAsAccepted();
     }
     leg.resume(answered.header("To"), acknowledged ? null : answered, kept);
     return leg;
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -77,12 +77,22 @@
     attemptLeg.launch();
   }
 
-  /** Takes legs that stood before a restart. */
-  void resume(CallLeg callerAgain, CallLeg attemptAgain, int number) {
+  /**
+   * Takes legs that stood before a restart. A session that had a time gets all of it again: how
+   * much had passed is not kept, so one whose ends are gone is released that much later at most.
+   */
+  void resume(CallLeg callerAgain, CallLeg attemptAgain, int number, long session) {
     caller = callerAgain;
     attemptLeg = attemptAgain;
     attempt = number;
     launched = true;
+    sessionLasts = session * 1000.0;
+    watchSession();
+  }
+
+  /** Time that the session lasts without a refresh, s; 0: for ever. */
+  long session() {
+    return Math.round(sessionLasts / 1000);
   }
 
   CallLeg attemptLeg() {
@@ -336,6 +346,10 @@
     if (seconds > 0) {
       sessionLasts = seconds * 1000;
     }
+    watchSession();
+  }
+
+  private void watchSession() {
     if (sessionLasts > 0) {
       if (sessionTimer != null) {
         sessionTimer.cancel();
--- a/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
+++ b/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
@@ -22,6 +22,7 @@
  * @param tag own tag
  * @param acknowledged whether the answer's ACK has passed
  * @param progress what has changed in the dialog; null before there is one
+ * @param session time that the session lasts without a refresh, s; 0: for ever (RFC 4028)
  * @param invite the INVITE
  * @param answer the final answer; empty before there is one
  */
@@ -30,6 +31,7 @@
     String tag,
     boolean acknowledged,
     Dialog.Progress progress,
+    long session,
     byte[] invite,
     byte[] answer) {
   private static final int HEADERS = 1_000;
@@ -48,6 +50,7 @@
         data.writeLong(progress.remote());
         data.writeUTF(progress.target());
       }
+      data.writeLong(session);
       data.writeInt(invite.length);
       data.write(invite);
       data.writeInt(answer.length);
@@ -67,16 +70,17 @@
           data.readBoolean()
               ? new Dialog.Progress(data.readLong(), data.readLong(), data.readUTF())
               : null;
+      long session = data.readLong();
       byte[] invite = data.readNBytes(data.readInt());
       byte[] answer = data.readNBytes(data.readInt());
-      return new LegRecord(hop, tag, acknowledged, progress, invite, answer);
+      return new LegRecord(hop, tag, acknowledged, progress, session, invite, answer);
     } catch (IOException e) {
       throw new IllegalArgumentException("a kept leg is cut short", e);
     }
   }
 
-  LegRecord with(boolean nowAcknowledged, Dialog.Progress now) {
-    return new LegRecord(hop, tag, nowAcknowledged, now, invite, answer);
+  LegRecord with(boolean nowAcknowledged, Dialog.Progress now, long lasts) {
+    return new LegRecord(hop, tag, nowAcknowledged, now, lasts, invite, answer);
   }
 
   SipRequest request() {
--- a/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
@@ -15,6 +15,7 @@
 import coveladder.sip.SipResponse;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Legs of SIP calls as they are kept, and made again after a restart. */
@@ -23,7 +24,7 @@
 
   private final SipFront front;
   private final LongSupplier wallClock;
-  private final Map<String, CallLeg> cutShort = new HashMap<>();
+  private final Map<String, CallLeg> expected = new HashMap<>();
 
   SavedLegs(SipFront front, LongSupplier wallClock) {
     this.front = front;
@@ -43,14 +44,14 @@
     CallLeg leg = bridge.caller();
     byte[] answer = bridge.prepared() == null ? NONE : bridge.prepared().toBytes();
     return new LegRecord(
-            leg.hop(), leg.localTag(), false, leg.progress(), leg.invite().toBytes(), answer)
+            leg.hop(), leg.localTag(), false, leg.progress(), 0, leg.invite().toBytes(), answer)
         .write();
   }
 
   @Override
   public byte[] prepareAttempt(AttemptOrder order) {
     CallLeg leg = front.prepare(order).attemptLeg();
-    return new LegRecord(leg.hop(), leg.localTag(), false, null, leg.invite().toBytes(), NONE)
+    return new LegRecord(leg.hop(), leg.localTag(), false, null, 0, leg.invite().toBytes(), NONE)
         .write();
   }
 
@@ -60,7 +61,13 @@
     CallLeg leg = bridge.attemptLeg();
     byte[] answer = bridge.received().toBytes();
     return new LegRecord(
-            leg.hop(), leg.localTag(), true, leg.progress(), leg.invite().toBytes(), answer)
+            leg.hop(),
+            leg.localTag(),
+            true,
+            leg.progress(),
+            bridge.received().number("Session-Expires", 0),
+            leg.invite().toBytes(),
+            answer)
         .write();
   }
 
@@ -69,7 +76,7 @@
     Bridge bridge = front.bridge(call);
     CallLeg leg = ofCaller ? bridge.caller() : bridge.attemptLeg();
     boolean acknowledged = leg.state() == CallLeg.State.CONFIRMED;
-    return LegRecord.read(before).with(acknowledged, leg.progress()).write();
+    return LegRecord.read(before).with(acknowledged, leg.progress(), bridge.session()).write();
   }
 
   @Override
@@ -109,7 +116,7 @@
                 to.response(),
                 to.progress(),
                 bridge.attemptSide(saved.attempt()));
-    bridge.resume(caller, attempt, saved.attempt());
+    bridge.resume(caller, attempt, saved.attempt(), to.session());
   }
 
   /** A dialog that was written before its answer left has only what its INVITE says. */
@@ -120,79 +127,78 @@
   }
 
   @Override
-  public void verify(String call) {
+  public void verify(String call, boolean ofCaller, Consumer<Held> told) {
     Bridge bridge = front.bridge(call);
-    if (bridge != null) {
-      ask(bridge.caller(), () -> front.controller().callerReleased(call), call);
-      ask(bridge.attemptLeg(), () -> farIsGone(call, bridge), call);
+    CallLeg leg = ofCaller ? bridge.caller() : bridge.attemptLeg();
+    if (!leg.send("OPTIONS", null, new HeldAnswers(told))) {
+      told.accept(Held.GONE);
     }
   }
 
-  private void farIsGone(String call, Bridge bridge) {
-    bridge.attemptLeg().bye(null);
-    front.controller().attemptOver(call, bridge.attempt(), Outcome.RESET, Reason.NONE, 0);
-  }
-
-  private void ask(CallLeg leg, Runnable gone, String call) {
-    leg.send(
-        "OPTIONS",
-        null,
-        new ClientTransaction.Listener() {
-          @Override
-          public void response(SipResponse response) {
-            if (response.status() == 481 || response.status() == 408) {
-              end();
-            }
-          }
+  /** Reads from the answer to an OPTIONS within a dialog whether the other side holds it. */
+  private record HeldAnswers(Consumer<Held> told) implements ClientTransaction.Listener {
+    @Override
+    public void response(SipResponse response) {
+      if (!response.provisional()) {
+        boolean unsure = response.status() == 408 || response.status() >= 500;
+        told.accept(response.status() == 481 ? Held.GONE : unsure ? Held.UNSURE : Held.YES);
+      }
+    }
 
-          @Override
-          public void failed(Failure failure) {
-            end();
-          }
+    @Override
+    public void failed(Failure failure) {
+      told.accept(Held.UNSURE);
+    }
+  }
 
-          private void end() {
-            gone.run();
-            leg.bye(null);
-            front.tidy(call);
-          }
-        });
+  @Override
+  public void letGo(String call, boolean ofCaller) {
+    Bridge bridge = front.bridge(call);
+    if (bridge == null) {
+      return;
+    }
+    if (ofCaller) {
+      front.controller().callerReleased(call);
+      bridge.caller().bye(null);
+    } else {
+      bridge.attemptLeg().bye(null);
+      front.controller().attemptOver(call, bridge.attempt(), Outcome.RESET, Reason.NONE, 0);
+    }
+    front.tidy(call);
   }
 
   @Override
   public void callOff(SavedCall saved, Runnable over) {
     LegRecord to = LegRecord.read(saved.attemptLeg());
     front.agent().callOff(to.request(), to.hop(), over);
-    CallLeg leg = unanswered(saved);
-    cutShort.put(saved.id(), leg);
-    double bound = front.settings().timing().life();
-    front.host().after(bound, () -> endCutShort(saved.id()));
   }
 
-  private CallLeg unanswered(SavedCall saved) {
+  @Override
+  public void expectCaller(SavedCall saved) {
     LegRecord from = LegRecord.read(saved.callerLeg());
     CallListener nobody = new CallListener() {};
-    return front.agent().resumeUnanswered(from.request(), from.hop(), from.tag(), nobody);
+    CallLeg leg = front.agent().resumeUnanswered(from.request(), from.hop(), from.tag(), nobody);
+    expected.put(saved.id(), leg);
+    front.host().after(front.settings().timing().life(), () -> abandon(saved.id()));
   }
 
-  /** A caller whose time was up gets no answer unless it still asks. */
-  private void endCutShort(String call) {
-    CallLeg leg = cutShort.remove(call);
+  /** A caller that was not known to wait gets no answer unless it asks for one. */
+  private void abandon(String call) {
+    CallLeg leg = expected.remove(call);
     if (leg != null) {
-      leg.reject(leg.response(408));
+      leg.abandon();
     }
   }
 
   @Override
   public void answerCutShort(SavedCall saved, FinalAnswer answer) {
-    CallLeg leg = cutShort.remove(saved.id());
-    if (leg != null) {
-      leg.reject(FinalResponses.of(leg, answer, saved.call().transit(), front.settings()));
-    }
+    CallLeg leg = expected.remove(saved.id());
+    leg.reject(FinalResponses.of(leg, answer, saved.call().transit(), front.settings()));
   }
 
   @Override
   public void answerAgain(SavedCall saved) {
-    LegRecord answer = new LegRecord(front.ownSwitch(), "", false, null, NONE, saved.answer());
-    unanswered(saved).reject(answer.response());
+    LegRecord answer = new LegRecord(front.ownSwitch(), "", false, null, 0, NONE, saved.answer());
+    expected.remove(saved.id()).reject(answer.response());
   }
 }
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -12,6 +12,7 @@
 import coveladder.core.Signalling;
 import coveladder.core.recovery.CallStore;
 import coveladder.core.recovery.Recovery;
+import coveladder.core.recovery.RecoveryPace;
 import coveladder.core.recovery.WriteAhead;
 import coveladder.sip.CallLeg;
 import coveladder.sip.CallListener;
@@ -101,14 +102,14 @@
     if (keeping == null) {
       this.controller = new CallController(rules, this, guard, journal, policies);
     } else {
-      SavedLegs legs = new SavedLegs(this, keeping.wallClock());
+      SavedLegs legs = new SavedLegs(this, keeping.clock());
       double life = settings.timing().life();
       this.writeAhead = new WriteAhead(this, legs, keeping.store(), life);
-      CallController.Journal both = new KeepingJournal(journal, writeAhead);
+      RecoveryPace pace = new RecoveryPace(keeping.budget(), rules.coldFrom(), rules.ramp());
+      CallController.Journal both = new KeepingJournal(journal, writeAhead, pace, clock);
       this.controller = new CallController(rules, writeAhead, guard, both, policies);
       writeAhead.controller(controller);
-      this.recovery =
-          new Recovery(controller, writeAhead, keeping.store(), legs, clock, keeping.budget());
+      this.recovery = new Recovery(controller, writeAhead, keeping.store(), legs, clock, pace);
     }
     this.list = subscriber(LIST_EVENT, settings.listServer(), new ListWatcher());
     this.circuits = subscriber(CIRCUIT_EVENT, settings.ownSwitch(), new CircuitWatcher());
@@ -120,9 +121,14 @@
    *
    * @param store the store
    * @param budget what recovery may send
-   * @param wallClock ms since 1970
+   * @param clock ms by a clock that goes on across restarts
    */
-  public record Keeping(CallStore store, Recovery.Budget budget, LongSupplier wallClock) {}
+  public record Keeping(CallStore store, RecoveryPace.Budget budget, LongSupplier clock) {}
+
+  /** What sees that calls are kept; null where they are not. */
+  public WriteAhead writeAhead() {
+    return writeAhead;
+  }
 
   /** What goes on after a restart; null where calls are not kept. */
   public Recovery recovery() {
@@ -209,6 +215,13 @@
             settings.limits());
   }
 
+  /** Takes nothing new and gives up its subscriptions; calls in flight go on. */
+  public void drain() {
+    controller.drain();
+    list.stop();
+    circuits.stop();
+  }
+
   /** Takes nothing new, answers each call in flight, and gives up its subscriptions. */
   public void shutDown() {
     controller.shutDown();
--- a/store/src/main/java/coveladder/store/DiskStore.java
+++ b/store/src/main/java/coveladder/store/DiskStore.java
@@ -3,49 +3,60 @@
 import coveladder.core.recovery.CallStore;
 import coveladder.core.recovery.SavedCall;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.h2.mvstore.DataUtils;
-import org.h2.mvstore.MVMap;
-import org.h2.mvstore.MVStore;
+import java.util.function.UnaryOperator;
 import org.h2.mvstore.MVStoreException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Calls kept in an MVStore file. Changes of many calls reach the disk together: a thread of its own
  * takes what waits, commits and syncs once, and tells all who asked (group commit).
  *
- * <p>A file that cannot be opened is put aside and a new one begun; a record that cannot be read is
- * written to {@code set-aside.txt} with its reason. A folder in use is refused.
+ * <p>A disk that fails loses nothing silently: the folder is marked as behind, those who wait are
+ * told, and every some seconds a new file is tried, into which all calls are put once more.
  */
 public final class DiskStore implements CallStore, AutoCloseable {
-  private static final String FILE = "calls.mv";
-  private static final String SET_ASIDE = "set-aside.txt";
+  private static final Logger LOG = LoggerFactory.getLogger(DiskStore.class);
   private static final int BATCH = 4_096;
   private static final int QUEUE = 100_000;
+  private static final long CLOSE_WITHIN = 10_000;
+  private static final long TIDY_EVERY = 1_000_000_000;
 
-  private final Path folder;
+  private final StateFolder folder;
+  private final UnaryOperator<String> names;
   private final Executor loop;
-  private final MVStore store;
-  private final MVMap<String, byte[]> calls;
+  private final long retry;
   private final Found found;
   private final BlockingQueue<Work> queue = new ArrayBlockingQueue<>(QUEUE);
   private final Thread writer = new Thread(this::write, "store");
+  private final FileChannel lock;
+  private CallFile file;
+  private volatile Runnable putAll = () -> {};
   private volatile boolean open = true;
   private volatile String failure = "";
   private volatile long commits;
+  private volatile long failures;
+  private long triedAt;
+  private int tries;
+  private volatile boolean beginning;
+  private long tidiedAt;
 
-  /** A change, or somebody who waits for all changes before. */
-  private record Work(String id, byte[] record, Consumer<Boolean> waits) {}
+  /**
+   * A change, or somebody who waits for all changes before, or the word that all was put again.
+   *
+   * @param fresh which try to begin anew all was put again for; 0: none
+   */
+  private record Work(String id, byte[] record, Consumer<Boolean> waits, int fresh) {}
 
   /** A folder that cannot be used; the message says why and what to do. */
   public static final class Unusable extends Exception {
@@ -62,62 +73,52 @@
    * @param loop where those who wait for a sync are told
    */
   public DiskStore(Path folder, Executor loop) throws IOException, Unusable {
-    this.folder = folder;
+    this(folder, loop, 5_000, UnaryOperator.identity());
+  }
+
+  /**
+   * Opens a folder.
+   *
+   * @param retry time between tries to begin anew after a failure, ms
+   * @param names file names as the store is to use them
+   */
+  DiskStore(Path path, Executor loop, long retry, UnaryOperator<String> names)
+      throws IOException, Unusable {
+    this.folder = new StateFolder(path);
+    this.names = names;
     this.loop = loop;
-    Files.createDirectories(folder);
+    this.retry = retry;
+    this.lock = folder.lock();
+    if (lock == null) {
+      throw new Unusable(path + " is in use by another process; end that one first");
+    }
     List<String> damaged = new ArrayList<>();
-    this.store = openFile(damaged);
-    this.calls = store.openMap("calls");
-    this.found = readAll(damaged);
+    this.file = openFile(damaged);
+    boolean behind = folder.behind();
+    List<SavedCall> calls = file.readAll(folder, damaged);
+    file.commit();
+    folder.markInStep();
+    this.found = new Found(List.copyOf(calls), List.copyOf(damaged), behind);
     writer.setDaemon(true);
     writer.start();
   }
 
-  private MVStore openFile(List<String> damaged) throws IOException, Unusable {
-    Path file = folder.resolve(FILE);
+  private CallFile openFile(List<String> damaged) throws IOException, Unusable {
+    boolean existed = folder.exists();
     try {
-      return open(file);
+      return open(folder.file());
     } catch (MVStoreException e) {
-      if (e.getErrorCode() == DataUtils.ERROR_FILE_LOCKED) {
-        throw new Unusable(folder + " is in use by another process; end that one first");
+      if (!existed) {
+        throw new Unusable(folder.path() + " cannot be written: " + e.getMessage());
       }
-      Path aside = folder.resolve(FILE + ".damaged-" + Files.getLastModifiedTime(file).toMillis());
-      Files.move(file, aside);
-      damaged.add(file + " could not be opened and is now " + aside + ": " + e.getMessage());
-      return open(file);
+      Path aside = folder.putAside();
+      damaged.add(folder.file() + " could not be opened, now " + aside + ": " + e.getMessage());
+      return open(folder.file());
     }
   }
 
-  private static MVStore open(Path file) {
-    return new MVStore.Builder()
-        .fileName(file.toString())
-        .autoCommitDisabled()
-        .autoCompactFillRate(0)
-        .open();
-  }
-
-  private Found readAll(List<String> damaged) throws IOException {
-    List<SavedCall> read = new ArrayList<>();
-    List<String> bad = new ArrayList<>();
-    for (String id : calls.keyList()) {
-      byte[] octets = calls.get(id);
-      try {
-        read.add(RecordCodec.read(octets));
-      } catch (RecordCodec.BadRecord e) {
-        String reason = "record of call " + id + ": " + e.getMessage();
-        damaged.add(reason);
-        bad.add(id);
-        String kept = reason + ": " + Base64.getEncoder().encodeToString(octets) + '\n';
-        Files.writeString(
-            folder.resolve(SET_ASIDE),
-            kept,
-            StandardCharsets.UTF_8,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.APPEND);
-      }
-    }
-    bad.forEach(calls::remove);
-    return new Found(List.copyOf(read), List.copyOf(damaged));
+  private CallFile open(Path path) {
+    return CallFile.open(names.apply(path.toString()));
   }
 
   @Override
@@ -125,31 +126,40 @@
     return found;
   }
 
+  @Override
+  public void begunAnew(Runnable all) {
+    putAll = all;
+  }
+
   @Override
   public void put(SavedCall call) {
-    enqueue(new Work(call.id(), RecordCodec.write(call), null));
+    enqueue(new Work(call.id(), RecordCodec.write(call), null, 0));
   }
 
   @Override
   public void remove(String id) {
-    enqueue(new Work(id, null, null));
+    enqueue(new Work(id, null, null, 0));
   }
 
   @Override
   public void sync(Consumer<Boolean> done) {
-    enqueue(new Work(null, null, done));
+    enqueue(new Work(null, null, done, 0));
   }
 
   /** A queue that is full counts as a disk that fails: calls go on, and the store says so. */
-  private void enqueue(Work work) {
-    if (!queue.offer(work)) {
-      failure = "more than " + QUEUE + " changes wait for the disk";
+  private boolean enqueue(Work work) {
+    boolean taken = queue.offer(work);
+    if (!taken) {
+      failed("more than " + QUEUE + " changes wait for the disk");
       if (work.waits() != null) {
         loop.execute(() -> work.waits().accept(false));
       }
     }
+    return taken;
   }
 
+  // ---- The writer ---------------------------------------------------------------------------
+
   private void write() {
     List<Work> batch = new ArrayList<>(BATCH);
     while (open || !queue.isEmpty()) {
@@ -168,10 +178,15 @@
   }
 
   private void write(List<Work> batch) {
-    boolean safe = failure.isEmpty() && commit(batch);
+    if (!failure.isEmpty() && !beginning) {
+      tryAnew();
+    }
+    boolean safe = file != null && commit(batch) && failure.isEmpty();
     for (Work work : batch) {
       if (work.waits() != null) {
         loop.execute(() -> work.waits().accept(safe));
+      } else if (work.fresh() == tries && work.fresh() > 0 && file != null) {
+        inStepAgain();
       }
     }
   }
@@ -181,48 +196,139 @@
     boolean wanted = batch.isEmpty();
     try {
       for (Work work : batch) {
-        wanted |= work.waits() != null;
+        wanted |= work.waits() != null || work.fresh() > 0;
         if (work.record() != null) {
-          calls.put(work.id(), work.record());
+          file.put(work.id(), work.record());
         } else if (work.id() != null) {
-          calls.remove(work.id());
+          file.remove(work.id());
         }
       }
-      if (wanted && store.hasUnsavedChanges()) {
-        store.commit();
-        store.sync();
+      if (wanted && file.commit()) {
         commits++;
       }
+      if (System.nanoTime() - tidiedAt > TIDY_EVERY) {
+        tidiedAt = System.nanoTime();
+        file.tidy();
+      }
       return true;
     } catch (MVStoreException e) {
-      failure = e.getMessage();
+      failed(e.getMessage());
+      letGo();
       return false;
     }
   }
 
-  /** Why the disk failed; empty while it works. After a failure nothing more is kept. */
+  // ---- Failure ------------------------------------------------------------------------------
+
+  /** The first failure marks the folder; the marks of a folder that cannot be marked are logged. */
+  private synchronized void failed(String why) {
+    if (!failure.isEmpty()) {
+      return;
+    }
+    failure = why;
+    failures++;
+    LOG.error("calls are not kept: {}; they go on, and a new file is tried", why);
+    try {
+      folder.markBehind();
+    } catch (IOException e) {
+      LOG.error(
+          "{} cannot be marked as behind: empty it before the next start: {}",
+          folder.path(),
+          e.getMessage());
+    }
+  }
+
+  private void letGo() {
+    beginning = false;
+    if (file != null) {
+      file.abandon();
+      file = null;
+    }
+    triedAt = System.nanoTime();
+  }
+
+  /** Begins a new file beside the failed one; the controller is asked to put everything again. */
+  private void tryAnew() {
+    if (file != null) {
+      letGo();
+    }
+    if (System.nanoTime() - triedAt < retry * 1_000_000 || !open) {
+      return;
+    }
+    triedAt = System.nanoTime();
+    try {
+      Files.deleteIfExists(folder.fresh());
+      file = open(folder.fresh());
+      beginning = true;
+      tries++;
+      int own = tries;
+      loop.execute(() -> putAgain(own));
+    } catch (MVStoreException | IOException e) {
+      LOG.warn("a new file for calls cannot be begun: {}", e.getMessage());
+    }
+  }
+
+  private void putAgain(int own) {
+    putAll.run();
+    if (!enqueue(new Work(null, null, null, own))) {
+      beginning = false;
+    }
+  }
+
+  /** All that is kept is in the new file, and safe: it takes the place of the failed one. */
+  private void inStepAgain() {
+    try {
+      folder.takeFresh();
+      folder.markInStep();
+      beginning = false;
+      failure = "";
+      LOG.info("calls are kept again");
+    } catch (IOException e) {
+      LOG.warn("the new file for calls cannot be taken: {}", e.getMessage());
+      letGo();
+    }
+  }
+
+  // ---- Figures ------------------------------------------------------------------------------
+
+  /** Why the disk fails; empty while it works. */
   public String failure() {
     return failure;
   }
 
+  /** How often the disk began to fail. */
+  public long failures() {
+    return failures;
+  }
+
   /** Commits so far; each made a group of changes safe. */
   public long commits() {
     return commits;
   }
 
+  /** Changes that wait for the disk. */
+  public int waiting() {
+    return queue.size();
+  }
+
   /** Writes all that waits and closes the file. */
   @Override
   public void close() {
     open = false;
     try {
-      writer.join(10_000);
+      writer.join(CLOSE_WITHIN);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    if (failure.isEmpty()) {
-      store.close();
-    } else {
-      store.closeImmediately();
+    if (file != null && failure.isEmpty()) {
+      file.close();
+    } else if (file != null) {
+      file.abandon();
+    }
+    try {
+      lock.close();
+    } catch (IOException e) {
+      LOG.warn("{} may stay locked until this process ends", folder.path());
     }
   }
 }
--- a/store/src/test/java/coveladder/store/DiskStoreTest.java
+++ b/store/src/test/java/coveladder/store/DiskStoreTest.java
@@ -1,6 +1,7 @@
 package coveladder.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -21,8 +22,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32C;
 import org.h2.mvstore.MVStore;
+import org.h2.store.fs.FilePath;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DiskStoreTest {
   @TempDir private Path folder;
@@ -37,6 +41,109 @@
     return new DiskStore(folder, Runnable::run);
   }
 
+  private DiskStore faulty() throws Exception {
+    FilePath.register(new FaultyFiles());
+    return new DiskStore(folder, Runnable::run, 1, name -> "faulty:" + name);
+  }
+
+  /** The disk fails: it is said, and after a crash the folder says that it is behind. */
+  @ParameterizedTest
+  @ValueSource(strings = {"full", "sync"})
+  void aDiskThatFailsIsSaidAndItsFolderIsBehind(String fault) throws Exception {
+    try (DiskStore store = faulty()) {
+      store.put(saved("a", Phase.STANDS, "leg"));
+      assertTrue(sync(store));
+      FaultyFiles.fault = fault;
+      store.put(saved("b", Phase.STANDS, "leg"));
+      assertFalse(sync(store));
+      assertEquals(1, store.failures());
+      assertFalse(store.failure().isEmpty());
+    } finally {
+      FaultyFiles.fault = "";
+    }
+    try (DiskStore store = open()) {
+      assertTrue(store.found().behind());
+      assertTrue(store.found().calls().contains(saved("a", Phase.STANDS, "leg")));
+    }
+    try (DiskStore store = open()) {
+      assertFalse(store.found().behind());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"full", "sync"})
+  void aDiskThatWorksAgainGetsAllCallsOnceMore(String fault) throws Exception {
+    SavedCall late = saved("late", Phase.STANDS, "leg");
+    try (DiskStore store = faulty()) {
+      store.begunAnew(() -> store.put(late));
+      store.put(saved("a", Phase.STANDS, "leg"));
+      assertTrue(sync(store));
+      FaultyFiles.fault = fault;
+      store.put(late);
+      assertFalse(sync(store));
+      FaultyFiles.fault = "";
+      boolean again = false;
+      for (int i = 0; i < 2_000 && !again; i++) {
+        again = sync(store);
+      }
+      assertTrue(again, store.failure());
+    } finally {
+      FaultyFiles.fault = "";
+    }
+    try (DiskStore store = open()) {
+      assertFalse(store.found().behind());
+      assertEquals(List.of(late), store.found().calls());
+    }
+  }
+
+  /** However many calls come and go, the file stays in proportion to those that are kept. */
+  @Test
+  void theFileDoesNotGrowWithTheCallsThatAreOver() throws Exception {
+    String leg = "x".repeat(2_000);
+    try (DiskStore store = open()) {
+      for (int i = 0; i < 60_000; i++) {
+        store.put(saved("c" + i, Phase.STANDS, leg));
+        store.remove("c" + (i - 300));
+        if (i % 60 == 0) {
+          assertTrue(sync(store));
+        }
+      }
+      assertTrue(sync(store));
+    }
+    long size = Files.size(folder.resolve("calls.mv"));
+    assertTrue(size < 100_000_000, "octets " + size);
+    long[] sizes = StateView.compact(folder);
+    assertTrue(sizes[1] < 2_000_000, "octets " + sizes[1]);
+    assertEquals(300, StateView.read(folder).calls().size());
+  }
+
+  @Test
+  void aFolderInUseIsReadButNotCompacted() throws Exception {
+    try (DiskStore store = open()) {
+      store.put(saved("a", Phase.STANDS, "leg"));
+      assertTrue(sync(store));
+      assertEquals(List.of(saved("a", Phase.STANDS, "leg")), StateView.read(folder).calls());
+      DiskStore.Unusable e =
+          assertThrows(DiskStore.Unusable.class, () -> StateView.compact(folder));
+      assertTrue(e.getMessage().contains("in use"), e.getMessage());
+    }
+    StateView.compact(folder);
+    assertEquals(1, StateView.read(folder).calls().size());
+  }
+
+  @Test
+  void theClockGoesOnThoughTheWallClockIsSetBack() throws Exception {
+    Path file = folder.resolve("clock");
+    SteadyClock first = SteadyClock.of(file, "b-1", () -> 5_000_000_000L, 1_000_000);
+    assertEquals(1_000_000, first.getAsLong());
+    SteadyClock next = SteadyClock.of(file, "b-1", () -> 7_000_000_000L, 400);
+    assertEquals(1_002_000, next.getAsLong());
+    SteadyClock booted = SteadyClock.of(file, "b-2", () -> 1_000_000_000L, 2_000_000);
+    assertEquals(2_000_000, booted.getAsLong());
+    Files.writeString(file, "nonsense");
+    assertEquals(500, SteadyClock.of(file, "b-2", () -> 0, 500).getAsLong());
+  }
+
   private static boolean sync(DiskStore store) throws Exception {
     CompletableFuture<Boolean> done = new CompletableFuture<>();
     store.sync(done::complete);
