--- a/app/src/main/java/coveladder/app/Daemon.java
+++ b/app/src/main/java/coveladder/app/Daemon.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -64,7 +65,7 @@
               settings.sockets(),
               settings.listen().host(),
               settings.listen().port(),
-              settings.seed());
+              new SecureRandom().nextLong());
       if (settings.metrics() != null) {
         http = metricsServer(settings);
       }
--- a/app/src/main/java/coveladder/app/RehearseCommand.java
+++ b/app/src/main/java/coveladder/app/RehearseCommand.java
@@ -32,7 +32,10 @@
 
   @Parameters(
       paramLabel = "NAME",
-      description = "a day, or 'small' with --seeds; 'list' names them all")
+      description = {
+        "a day; 'small' or 'restarts' with --seeds; 'boundaries': a kill at each message and write",
+        "of a day in turn; 'list' names the days"
+      })
   private String name;
 
   @Option(names = "--seed", defaultValue = "1", description = "seed of the day (${DEFAULT-VALUE})")
@@ -55,8 +58,13 @@
       Days.all().values().forEach(day -> out.printf("%-14s %s%n", day.name(), day.about()));
       return 0;
     }
+    if (name.equals("boundaries")) {
+      long all = SeedSweep.restarts(Days.boundaries(), seed, -1).lives().boundaries();
+      out.printf("%d boundaries, a kill at each in turn%n", all);
+      return sweep(out, SeedSweep.ofBoundaries(Days.boundaries(), seed), 1, (int) all);
+    }
     if (seeds > 0) {
-      return sweep(out);
+      return sweep(out, sweepOfSeeds(), seed, seeds);
     }
     Day day = name.equals("small") ? Days.small(seed) : Days.all().get(name);
     if (day == null) {
@@ -84,16 +92,23 @@
     }
   }
 
-  private int sweep(PrintWriter out) throws InterruptedException {
-    SeedSweep sweep =
-        new SeedSweep(name.equals("small") ? Days::small : s -> day(), Tampering.NONE);
+  private SeedSweep sweepOfSeeds() {
+    return switch (name) {
+      case "small" -> SeedSweep.ofDays(Days::small, Tampering.NONE);
+      case "restarts" -> SeedSweep.ofRestarts();
+      default -> SeedSweep.ofDays(s -> day(), Tampering.NONE);
+    };
+  }
+
+  private int sweep(PrintWriter out, SeedSweep sweep, long first, int count)
+      throws InterruptedException {
     long begun = System.nanoTime();
     List<SeedSweep.Failing> failing =
-        sweep.play(seed, seeds, Runtime.getRuntime().availableProcessors());
+        sweep.play(first, count, Runtime.getRuntime().availableProcessors());
     double spent = (System.nanoTime() - begun) / 1e9;
-    failing.forEach(one -> out.printf("seed %d:%n%s%n", one.seed(), one.what()));
+    failing.forEach(one -> out.printf("number %d:%n%s%n", one.seed(), one.what()));
     out.printf(
-        "%d seeds, %d calls, %.1f s, %.0f seeds a minute; %d failing%n",
+        "%d played, %d calls, %.1f s, %.0f a minute; %d failing%n",
         sweep.played(), sweep.calls(), spent, sweep.played() * 60 / spent, failing.size());
     return failing.isEmpty() ? 0 : 1;
   }
--- a/core/src/main/java/coveladder/core/HeldCall.java
+++ b/core/src/main/java/coveladder/core/HeldCall.java
@@ -61,6 +61,11 @@
     return Math.max(0, taken + call.patience() - now);
   }
 
+  /** Whether an attempt is out, or stands. */
+  public boolean hasAttempt() {
+    return current != null;
+  }
+
   /** Clock when it was taken, ms. */
   public double taken() {
     return taken;
--- a/core/src/main/java/coveladder/core/recovery/CallStore.java
+++ b/core/src/main/java/coveladder/core/recovery/CallStore.java
@@ -24,6 +24,9 @@
   /** What was found when the store was opened. */
   Found found();
 
+  /** What was found behind has been set right by the changes so far: it is in step after them. */
+  void caughtUp();
+
   /**
    * Names who puts everything once more when the store, after a failure, has begun anew and is
    * empty; runs on the controller's thread.
@@ -36,6 +39,7 @@
    * @param calls calls that could be read
    * @param damaged what could not, each with its reason; it was set aside
    * @param behind whether calls had gone on unkept, so that what was found may be out of date
+   * @param life how many times the store has been opened, this time included
    */
-  record Found(List<SavedCall> calls, List<String> damaged, boolean behind) {}
+  record Found(List<SavedCall> calls, List<String> damaged, boolean behind, int life) {}
 }
--- a/core/src/main/java/coveladder/core/recovery/Legs.java
+++ b/core/src/main/java/coveladder/core/recovery/Legs.java
@@ -19,6 +19,9 @@
   /** A leg that was kept, with what has changed since. */
   byte[] refreshed(String call, boolean ofCaller, byte[] before);
 
+  /** Whether an end of a call was told of its release and has not answered that. */
+  boolean releasing(String call);
+
   /** Makes the caller's 2xx ready, so that its leg can be kept with it. */
   void prepareStands(String call);
 
@@ -30,8 +33,13 @@
 
   // ---- After a restart ----------------------------------------------------------------------
 
-  /** Makes both legs of a call that stands; what its caller is owed is sent until it is taken. */
-  void resume(SavedCall saved);
+  /**
+   * Makes both legs of a call that stands.
+   *
+   * @param owed whether a 2xx that is not known to be acknowledged is sent until it is
+   * @param life which life of the controller this is, for numbers that no life before has used
+   */
+  void resume(SavedCall saved, boolean owed, int life);
 
   /** Asks one end of a resumed call whether it still holds it. */
   void verify(String call, boolean ofCaller, Consumer<Held> told);
@@ -54,13 +62,18 @@
 
   /**
    * Makes the caller's leg of a set-up that was cut short, so that repeats of its INVITE begin no
-   * second call and its CANCEL is answered; nothing is sent by that.
+   * second call; nothing is sent by that.
+   *
+   * @param whenCalledOff hears of its CANCEL, with what sends the answer to that
    */
-  void expectCaller(SavedCall saved);
+  void expectCaller(SavedCall saved, Consumer<Runnable> whenCalledOff);
+
+  /** A final answer for the caller of a set-up that was cut short, as it will leave. */
+  byte[] cutShortAnswer(SavedCall saved, FinalAnswer answer);
 
-  /** Gives the caller of a set-up that was cut short its one final answer. */
-  void answerCutShort(SavedCall saved, FinalAnswer answer);
+  /** Answers once more a caller that had called off. */
+  void answerCalledOff(SavedCall saved);
 
-  /** Sends a final answer once more as it left, or was about to leave, before the restart. */
+  /** Sends the final answer that is kept with a call to its expected caller. */
   void answerAgain(SavedCall saved);
 }
--- a/core/src/main/java/coveladder/core/recovery/Recovery.java
+++ b/core/src/main/java/coveladder/core/recovery/Recovery.java
@@ -8,7 +8,9 @@
 import coveladder.core.recovery.SavedCall.Phase;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Goes on after a restart with what the store held. Calls that stand are held again at once, which
@@ -25,40 +27,61 @@
   private final Legs legs;
   private final Clockwork clock;
   private final RecoveryPace pace;
-  private final ArrayDeque<SavedCall> urgent = new ArrayDeque<>();
+  private final double unsureFor;
+  private final ArrayDeque<CutShort> urgent = new ArrayDeque<>();
   private final ArrayDeque<Question> standing = new ArrayDeque<>();
+  private final Set<String> over = new HashSet<>();
   private final Map<Phase, Integer> counts = new HashMap<>();
   private boolean behind;
+  private int life;
+  private double begun;
   private int outstanding;
   private int unsettled;
   private int damaged;
   private int answered;
   private int gone;
 
+  /** A call whose caller waits, or may. */
+  private static final class CutShort {
+    private SavedCall saved;
+
+    CutShort(SavedCall saved) {
+      this.saved = saved;
+    }
+  }
+
   /** An end of a call that is to be asked after, and how often it was. */
   private record Question(String call, boolean ofCaller, int asked) {}
 
-  /** Makes it; nothing happens before {@link #begin}. */
+  /**
+   * Makes it; nothing happens before {@link #begin}.
+   *
+   * @param unsureFor how long callers of before can still wait after a start, ms
+   */
   public Recovery(
       CallController controller,
       WriteAhead writeAhead,
       CallStore store,
       Legs legs,
       Clockwork clock,
-      RecoveryPace pace) {
+      RecoveryPace pace,
+      double unsureFor) {
     this.controller = controller;
     this.writeAhead = writeAhead;
     this.store = store;
     this.legs = legs;
     this.clock = clock;
     this.pace = pace;
+    this.unsureFor = unsureFor;
   }
 
   /** Holds again what stood and begins to end the rest. Before the controller takes new calls. */
   public void begin() {
+    begun = clock.now();
     CallStore.Found found = store.found();
     damaged = found.damaged().size();
     behind = found.behind();
+    life = found.life();
     for (SavedCall saved : found.calls()) {
       counts.merge(saved.phase(), 1, Integer::sum);
       if (saved.phase() == Phase.STANDS) {
@@ -67,6 +90,9 @@
         expect(saved);
       }
     }
+    if (behind) {
+      clock.after(unsureFor, store::caughtUp);
+    }
     clock.after(0, this::nextUrgent);
     clock.after(pace.firstAfter(), this::nextStanding);
   }
@@ -74,7 +100,7 @@
   private void resume(SavedCall saved) {
     writeAhead.adopt(saved);
     controller.resume(saved.call(), saved.attempt(), saved.exchange());
-    legs.resume(saved);
+    legs.resume(saved, waitsStill(saved), life);
     standing.add(new Question(saved.id(), true, 0));
     standing.add(new Question(saved.id(), false, 0));
     unsettled += 2;
@@ -82,10 +108,29 @@
 
   /** However many wait, each caller is known from the first moment: its repeat is no new call. */
   private void expect(SavedCall saved) {
-    legs.expectCaller(saved);
-    urgent.add(saved);
+    CutShort waiting = new CutShort(behind ? saved.withoutDeadline() : saved);
     if (behind) {
-      store.put(saved.withoutDeadline());
+      store.put(waiting.saved);
+    }
+    legs.expectCaller(saved, answer -> calledOff(waiting, answer));
+    urgent.add(waiting);
+  }
+
+  /** The caller calls off; one that has its answer, or is getting it, gets no other. */
+  private void calledOff(CutShort waiting, Runnable answer) {
+    if (!waiting.saved.hasAnswer() && !waiting.saved.isCalledOff()) {
+      waiting.saved = waiting.saved.calledOff();
+      keepThen(waiting.saved, answer);
+    }
+  }
+
+  /** Keeps a call that may have been forgotten meanwhile only until its answer has left. */
+  private void keepThen(SavedCall saved, Runnable answer) {
+    if (over.contains(saved.id())) {
+      answer.run();
+    } else {
+      store.put(saved);
+      store.sync(safe -> answer.run());
     }
   }
 
@@ -98,15 +143,15 @@
 
   /** Set-ups cut short and answers on their way come first: their callers wait. */
   private void nextUrgent() {
-    SavedCall saved = urgent.poll();
-    if (saved == null) {
+    CutShort next = urgent.poll();
+    if (next == null) {
       return;
     }
-    if (saved.phase() == Phase.ANSWERED) {
-      legs.answerAgain(saved);
-      store.remove(saved.id());
+    if (next.saved.attempt() == SavedCall.NONE) {
+      legs.answerAgain(next.saved);
+      store.remove(next.saved.id());
     } else {
-      cutShort(saved);
+      cutShort(next);
     }
     clock.after(gap(), this::nextUrgent);
   }
@@ -114,31 +159,42 @@
   /**
    * The attempt may or may not have left: it is called off as if it had. The caller is answered at
    * once, if it is known to wait still; no second attempt is made for it, so none can be out beside
-   * the first. It stays in the store until the attempt is known to be over, for a crash meanwhile.
+   * the first. It stays in the store until the attempt is known to be over, for a crash meanwhile,
+   * and so does its answer: the next life must not give another.
    */
-  private void cutShort(SavedCall saved) {
+  private void cutShort(CutShort waiting) {
     outstanding++;
-    legs.callOff(saved, () -> calledOff(saved));
-    if (waitsStill(saved)) {
+    SavedCall saved = waiting.saved;
+    legs.callOff(saved, () -> attemptOver(saved.id()));
+    if (saved.hasAnswer()) {
+      legs.answerAgain(saved);
+    } else if (saved.isCalledOff()) {
+      legs.answerCalledOff(saved);
+    } else if (waitsStill(saved)) {
       answered++;
       FinalAnswer answer = new FinalAnswer(FinalAnswer.Kind.SHUT_DOWN, 0, Reason.NONE);
-      legs.answerCutShort(saved, answer);
+      waiting.saved = saved.answered(legs.cutShortAnswer(saved, answer));
+      keepThen(waiting.saved, () -> legs.answerAgain(waiting.saved));
     }
   }
 
   /**
-   * A store that is behind may call a set-up what has been answered since: a second answer must not
-   * go out, nor after the next crash, when the store is in step again. A deadline further away than
-   * the whole patience says that the clock was set back.
+   * Only a caller that waits still may get an answer: one that left would get it late. Whether it
+   * had a 2xx that was about to leave is found by asking after the call.
+   *
+   * <p>A store that is behind may call a set-up what has been answered since: a second answer must
+   * not go out, nor after the next crash, when the store is in step again. A deadline further away
+   * than the whole patience says that the clock was set back.
    */
   private boolean waitsStill(SavedCall saved) {
     long left = saved.deadline() - legs.wallClock();
     return !behind && left > 0 && left <= saved.call().patience() + 1;
   }
 
-  private void calledOff(SavedCall saved) {
+  private void attemptOver(String id) {
     outstanding--;
-    store.remove(saved.id());
+    over.add(id);
+    store.remove(id);
   }
 
   // ---- Calls that stand -----------------------------------------------------------------------
@@ -177,6 +233,14 @@
 
   // ---- Figures --------------------------------------------------------------------------------
 
+  /**
+   * Whether a call that comes may be one of before that was not kept, with an attempt out. The
+   * store stays marked as behind for that long, so that a crash meanwhile changes nothing of it.
+   */
+  public boolean unsure() {
+    return behind && clock.now() < begun + unsureFor;
+  }
+
   /** Calls found in a phase. */
   public int found(Phase phase) {
     return counts.getOrDefault(phase, 0);
--- a/core/src/main/java/coveladder/core/recovery/SavedCall.java
+++ b/core/src/main/java/coveladder/core/recovery/SavedCall.java
@@ -9,12 +9,13 @@
  *
  * @param call the call as the policy was told
  * @param phase how far it is
- * @param attempt number of the attempt that is out or stands
+ * @param attempt number of the attempt that is out or stands; {@link #NONE}: none is
  * @param exchange id of the exchange that it was sent to
  * @param callerLeg the caller's leg, as the front wrote it
  * @param attemptLeg the attempt's leg, as the front wrote it
  * @param answer the final answer other than 2xx, as the front wrote it; empty if there is none
- * @param deadline wall clock at which the caller's patience ends, ms since 1970
+ * @param deadline clock at which the caller's patience ends, ms; 0: it is not known to wait; -1: it
+ *     has called off
  */
 public record SavedCall(
     Call call,
@@ -26,6 +27,11 @@
     byte[] answer,
     long deadline) {
 
+  /** Stands for the number of an attempt where none is out. */
+  public static final int NONE = -1;
+
+  private static final long CALLED_OFF = -1;
+
   /** How far a call is; a call without any attempt is not kept, as nothing of it is anywhere. */
   public enum Phase {
     /** An attempt went out or was about to; the caller has no answer. */
@@ -41,6 +47,26 @@
     return call.id();
   }
 
+  /** Whether its caller had a final answer, or was about to get it. */
+  boolean hasAnswer() {
+    return answer.length > 0;
+  }
+
+  /** The same with the final answer that its caller gets. */
+  SavedCall answered(byte[] given) {
+    return new SavedCall(call, phase, attempt, exchange, callerLeg, attemptLeg, given, deadline);
+  }
+
+  /** Whether the caller had called off. */
+  public boolean isCalledOff() {
+    return deadline == CALLED_OFF;
+  }
+
+  /** The same, called off by its caller. */
+  SavedCall calledOff() {
+    return new SavedCall(call, phase, attempt, exchange, callerLeg, attemptLeg, answer, CALLED_OFF);
+  }
+
   /** The same, with a caller that is not known to wait. */
   SavedCall withoutDeadline() {
     return new SavedCall(call, phase, attempt, exchange, callerLeg, attemptLeg, answer, 0);
--- a/core/src/main/java/coveladder/core/recovery/WriteAhead.java
+++ b/core/src/main/java/coveladder/core/recovery/WriteAhead.java
@@ -35,6 +35,7 @@
     private SavedCall saved;
     private int waiting = -1;
     private boolean calledOff;
+    private boolean ended;
 
     Kept(SavedCall saved) {
       this.saved = saved;
@@ -144,7 +145,7 @@
         new SavedCall(
             before.call(),
             stands ? Phase.STANDS : Phase.ANSWERED,
-            before.attempt(),
+            controller.call(call).hasAttempt() ? before.attempt() : SavedCall.NONE,
             before.exchange(),
             legs.callerLeg(call),
             stands ? legs.attemptLeg(call) : before.attemptLeg(),
@@ -162,6 +163,31 @@
     }
   }
 
+  /**
+   * The caller called off: its answer to that must be safe before it leaves, or the next life would
+   * give it another. Where another answer waits for the disk already, that one leaves instead.
+   *
+   * @param answer sends it
+   */
+  public void callerLeaves(String call, Runnable answer) {
+    Kept entry = kept.get(call);
+    if (entry == null) {
+      answer.run();
+    } else if (entry.saved.phase() == Phase.SETTING_UP) {
+      keepCalledOff(entry, answer);
+    }
+  }
+
+  private void keepCalledOff(Kept entry, Runnable answer) {
+    entry.saved = entry.saved.calledOff();
+    store.put(entry.saved);
+    store.sync(
+        safe -> {
+          unkept += safe ? 0 : 1;
+          answer.run();
+        });
+  }
+
   /** Something of a call that stands has changed, such as an address; the store learns it late. */
   public void changed(String call) {
     Kept entry = kept.get(call);
@@ -182,12 +208,24 @@
   }
 
   /**
-   * A call is let go by the core. Lost in a crash, this leaves a call that stood to be found gone
-   * by asking its ends, and an answer to be sent once more alike.
+   * A call is let go by the core. It is kept until its ends have answered to its release: one that
+   * did not hear of it is found by asking after a crash. Lost in a crash, the removal leaves a call
+   * that stood to be found gone by asking its ends, and an answer to be sent once more alike.
    */
   public void ended(String call) {
     Kept entry = kept.get(call);
     if (entry != null && entry.saved.phase() != Phase.ANSWERED) {
+      entry.ended = true;
+      if (!legs.releasing(call)) {
+        forget(call);
+      }
+    }
+  }
+
+  /** All ends that were told of a call's release have answered, or will not. */
+  public void released(String call) {
+    Kept entry = kept.get(call);
+    if (entry != null && entry.ended) {
       forget(call);
     }
   }
--- a/rehearsal/src/main/java/coveladder/rehearsal/Days.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Days.java
@@ -102,6 +102,63 @@
         (world, fleet) -> drawnTroubles(world, fleet, seed, 11_000));
   }
 
+  /**
+   * Controllers that are killed and started again: at boundaries of their messages and writes,
+   * between events, one by one and all at once, with disks that fail among them.
+   */
+  public static Day restarts(long seed) {
+    FleetPlan plan = FleetPlan.eight().sized(4, 6);
+    return new Day(
+        "restarts",
+        "four exchanges, 12 s, controllers killed and disks failing as the seed draws",
+        plan,
+        12_000,
+        drawn -> new Load(plan, drawn),
+        (world, fleet) -> drawnKills(world, fleet, seed, 11_000));
+  }
+
+  /** A quiet day of some hundred calls, to be killed at each of its boundaries in turn. */
+  public static Day boundaries() {
+    FleetPlan plan = FleetPlan.eight().sized(3, 7);
+    return new Day(
+        "boundaries",
+        "three exchanges, 10 s, a kill at one boundary",
+        plan,
+        10_000,
+        drawn -> new Load(plan, drawn),
+        (world, fleet) -> {});
+  }
+
+  private static void drawnKills(World world, Fleet fleet, long seed, double until) {
+    SplittableRandom random = new SplittableRandom(seed ^ 0xdead);
+    for (double at = 1_000; at < until; at += 200 + random.nextDouble() * 1_500) {
+      int exchange = random.nextInt(fleet.plan().exchanges());
+      int boundary = 1 + random.nextInt(60);
+      double down = 5 + random.nextDouble() * 900;
+      int what = random.nextInt(8);
+      world.at(at, LIST, () -> kill(world, fleet, exchange, boundary, down, what));
+    }
+  }
+
+  private static void kill(
+      World world, Fleet fleet, int exchange, int boundary, double down, int what) {
+    Lives lives = fleet.lives();
+    lives.downFor(down);
+    switch (what) {
+      case 0 -> lives.kill(exchange);
+      case 1 -> {
+        for (int i = 0; i < fleet.plan().exchanges(); i++) {
+          lives.kill(i);
+        }
+      }
+      case 2 -> {
+        lives.diskFails(exchange, true);
+        world.at(world.now() + 2 * down, LIST, () -> lives.diskFails(exchange, false));
+      }
+      default -> lives.arm(exchange, boundary);
+    }
+  }
+
   /** One trouble every second or two, of any kind, at any exchange; they overlap. */
   private static void drawnTroubles(World world, Fleet fleet, long seed, double until) {
     SplittableRandom random = new SplittableRandom(seed ^ 0x5eed);
--- a/rehearsal/src/main/java/coveladder/rehearsal/Fleet.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Fleet.java
@@ -34,6 +34,7 @@
   private final FleetPlan plan;
   private final long seed;
   private final Tampering tampering;
+  private final Lives lives;
   private final Trunks trunks = new Trunks();
   private final Map<Integer, SipFront> controllers = new TreeMap<>();
   private final Map<Integer, StandinSwitch> switches = new TreeMap<>();
@@ -46,6 +47,12 @@
 
   /** Builds a fleet; time has not begun yet. */
   public Fleet(World world, FleetPlan plan, long seed, Tampering tampering) {
+    this(world, plan, seed, tampering, null);
+  }
+
+  /** Builds a fleet whose controllers keep their calls and can be killed; null lives: not so. */
+  public Fleet(World world, FleetPlan plan, long seed, Tampering tampering, Lives lives) {
+    this.lives = lives;
     this.world = world;
     this.plan = plan;
     this.seed = seed;
@@ -53,6 +60,9 @@
     layTrunks();
     place();
     addStandins();
+    if (lives != null) {
+      lives.of(this);
+    }
     for (int i = 0; i < plan.exchanges(); i++) {
       addController(i);
     }
@@ -143,6 +153,18 @@
     controllers.put(number, front);
   }
 
+  /** A controller that was killed starts, from what its disk holds. */
+  void startAgain(int number) {
+    CallPolicy.Settings rules = plan.rules(number);
+    FrontSettings settings = frontSettings(number);
+    SipFront front =
+        ((SimWorld) world)
+            .revive(
+                controllerName(number),
+                host -> front(tampering.host().apply(host), settings, rules));
+    controllers.put(number, front);
+  }
+
   private SipFront front(SipHost host, FrontSettings settings, CallPolicy.Settings rules) {
     long own = seed * 1000 + rules.self();
     return new SipFront(
@@ -151,7 +173,8 @@
         rules,
         tampering.guard().get(),
         CallController.Journal.NONE,
-        tampering.maker(rules, own));
+        tampering.maker(rules, own),
+        lives == null ? null : lives.keeping(controllerName(rules.self()), host));
   }
 
   private FrontSettings frontSettings(int number) {
@@ -178,6 +201,11 @@
     callers.plan(plans);
   }
 
+  /** What kills controllers and starts them again; null where that is not part of the day. */
+  public Lives lives() {
+    return lives;
+  }
+
   /** A switch. */
   public StandinSwitch exchange(int number) {
     return switches.get(number);
--- a/rehearsal/src/main/java/coveladder/rehearsal/WireMessage.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/WireMessage.java
@@ -95,6 +95,11 @@
     return parameter(header("to"), "tag");
   }
 
+  /** Whether it came by UDP, as its topmost Via says. */
+  boolean datagram() {
+    return header("via").startsWith("SIP/2.0/UDP");
+  }
+
   String session() {
     return header("session-id").split(";")[0];
   }
--- a/rehearsal/src/test/java/coveladder/rehearsal/HardCasesTest.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/HardCasesTest.java
@@ -83,8 +83,10 @@
     RawNode.Read anew = new RawNode.Read(0, tcp.place.by(Transport.TCP), attempt.text());
     tcp.ownSwitch.answer(anew, "200 OK", "far", "");
     tcp.run(50);
-    assertEquals(1, tcp.ownSwitch.all("ACK").size());
     assertEquals(1, tcp.ownSwitch.all("BYE").size());
+    tcp.ownSwitch.answer(tcp.ownSwitch.last("BYE"), "200 OK", "", "");
+    tcp.run(50);
+    assertEquals(1, tcp.ownSwitch.all("ACK").size());
     assertEquals(List.of(), tcp.finals());
   }
 
@@ -115,8 +117,10 @@
     assertEquals(1, bed.ownSwitch.all("CANCEL").size());
     bed.ownSwitch.answer(attempt, "200 OK", "far", "");
     bed.run(50);
-    assertEquals(1, bed.ownSwitch.all("ACK").size());
     assertEquals(1, bed.ownSwitch.all("BYE").size());
+    bed.ownSwitch.answer(bed.ownSwitch.last("BYE"), "200 OK", "", "");
+    bed.run(50);
+    assertEquals(1, bed.ownSwitch.all("ACK").size());
     assertEquals(List.of("487"), bed.finals());
     assertEquals(0, bed.front.controller().held());
   }
--- /dev/null
+++ b/rehearsal/src/test/java/coveladder/rehearsal/RestartSweepTest.java
@@ -0,0 +1,192 @@
+package coveladder.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import coveladder.core.recovery.CallStore;
+import coveladder.core.recovery.RecoveryPace;
+import coveladder.core.recovery.SavedCall;
+import coveladder.core.recovery.SavedCall.Phase;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Controllers that are killed in virtual time; all boundaries and thousands of seeds: the kit. */
+class RestartSweepTest {
+  private static final int THREADS = Runtime.getRuntime().availableProcessors();
+  private static final RecoveryPace.Budget BUDGET = new RecoveryPace.Budget(200, 300);
+
+  @Test
+  void fiftySeedsWithKillsAndFailingDisksKeepAllRules() throws InterruptedException {
+    assertEquals(List.of(), SeedSweep.ofRestarts().play(1, 50, THREADS));
+  }
+
+  /**
+   * Seeds that broke a rule or left circuits busy once: an answer to a CANCEL that was not kept
+   * (10), a second attempt after a disk had failed and the next life too ended at once (12, 221), a
+   * 503 after a 200 that had not been kept (16), CSeq numbers used by the life before (31), an ACK
+   * before the call was kept (41), a BYE lost with the process that sent it (106), an answer
+   * waiting for the disk while the caller called off (189).
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {10, 12, 16, 31, 41, 106, 189, 221, 461, 571, 838})
+  void seedsThatFailedOnce(long seed) {
+    Rehearsal.Result result = SeedSweep.restarts(Days.restarts(seed), seed, -1);
+    assertTrue(result.clean(), result.verdict() + " circuits held " + result.circuitsHeld());
+  }
+
+  @Test
+  void aKillAtSomeBoundariesKeepsAllRules() throws InterruptedException {
+    SeedSweep sweep = SeedSweep.ofBoundaries(Days.boundaries(), 1);
+    for (long boundary = 5; boundary < 3_900; boundary += 310) {
+      assertEquals(List.of(), sweep.play(boundary, 2, THREADS));
+    }
+  }
+
+  @Test
+  void everyCallThatStoodAtAKillStandsToItsEnd() {
+    for (long boundary = 200; boundary < 3_900; boundary += 1_200) {
+      Rehearsal.Result result = SeedSweep.restarts(Days.boundaries(), 2, boundary);
+      Set<String> cut =
+          result.fates().stream()
+              .filter(fate -> fate.cut())
+              .map(fate -> fate.plan().session())
+              .collect(Collectors.toCollection(TreeSet::new));
+      cut.retainAll(result.lives().stood().keySet());
+      assertEquals(1, result.lives().kills());
+      assertEquals(Set.of(), cut);
+    }
+  }
+
+  @Test
+  void aDayWithoutKillsIsAsWithoutADisk() {
+    Rehearsal.Result result = SeedSweep.restarts(Days.boundaries(), 1, -1);
+    assertTrue(result.clean());
+    assertEquals(0, result.lives().kills());
+  }
+
+  // ---- Mutations: the checker goes red --------------------------------------------------------
+
+  /** A store that passes everything on, for mutants to change one thing of. */
+  private static class Between implements CallStore {
+    final CallStore inner;
+
+    Between(CallStore inner) {
+      this.inner = inner;
+    }
+
+    @Override
+    public void put(SavedCall call) {
+      inner.put(call);
+    }
+
+    @Override
+    public void remove(String id) {
+      inner.remove(id);
+    }
+
+    @Override
+    public void sync(Consumer<Boolean> done) {
+      inner.sync(done);
+    }
+
+    @Override
+    public Found found() {
+      return inner.found();
+    }
+
+    @Override
+    public void caughtUp() {
+      inner.caughtUp();
+    }
+
+    @Override
+    public void begunAnew(Runnable putAll) {
+      inner.begunAnew(putAll);
+    }
+  }
+
+  private static int failing(UnaryOperator<CallStore> mutant) {
+    int failing = 0;
+    for (long seed = 10; seed <= 16; seed++) {
+      try (SimWorld world = new SimWorld(seed)) {
+        Lives lives = new Lives(world, BUDGET, seed, mutant);
+        Rehearsal.Result result = Rehearsal.playLives(world, Days.restarts(seed), seed, lives);
+        failing += result.clean() ? 0 : 1;
+      }
+    }
+    return failing;
+  }
+
+  @Test
+  void nothingChangedNothingFails() {
+    assertEquals(0, failing(Between::new));
+  }
+
+  @Test
+  void aStoreThatSaysSafeTooSoonIsFound() {
+    assertTrue(
+        failing(
+                disk ->
+                    new Between(disk) {
+                      @Override
+                      public void sync(Consumer<Boolean> done) {
+                        inner.sync(well -> {});
+                        done.accept(true);
+                      }
+                    })
+            > 0);
+  }
+
+  @Test
+  void setUpsThatAreNotKeptAreFound() {
+    assertTrue(
+        failing(
+                disk ->
+                    new Between(disk) {
+                      @Override
+                      public void put(SavedCall call) {
+                        if (call.phase() != Phase.SETTING_UP) {
+                          inner.put(call);
+                        }
+                      }
+                    })
+            > 0);
+  }
+
+  @Test
+  void aFailedDiskThatDoesNotSaySoIsFound() {
+    assertTrue(
+        failing(
+                disk ->
+                    new Between(disk) {
+                      @Override
+                      public Found found() {
+                        Found found = inner.found();
+                        return new Found(found.calls(), found.damaged(), false, found.life());
+                      }
+                    })
+            > 0);
+  }
+
+  @Test
+  void aLifeThatTakesItselfForTheFirstIsFound() {
+    assertTrue(
+        failing(
+                disk ->
+                    new Between(disk) {
+                      @Override
+                      public Found found() {
+                        Found found = inner.found();
+                        return new Found(found.calls(), found.damaged(), found.behind(), 1);
+                      }
+                    })
+            > 0);
+  }
+}
--- a/rehearsal/src/test/java/coveladder/rehearsal/RestartTest.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/RestartTest.java
@@ -98,9 +98,93 @@
     bed.run(20);
     bed.ownSwitch.answer(attempt, "200 OK", "far", "");
     bed.run(50);
-    assertEquals(1, bed.ownSwitch.all("ACK").size());
     assertEquals(1, bed.ownSwitch.all("BYE").size());
+    bed.ownSwitch.answer(bed.ownSwitch.last("BYE"), "200 OK", "", "");
+    bed.run(50);
+    assertEquals(1, bed.ownSwitch.all("ACK").size());
+    assertEquals(List.of("503"), bed.finals());
+  }
+
+  /** The clock stands an hour before the crash: the caller cannot be known to wait still. */
+  @Test
+  void withTheClockSetBackNoCallerIsAnsweredLate() {
+    bed.invite("c1", 4);
+    bed.run(20);
+    bed.clockStep = -3_600_000;
+    bed.restart(10_000);
+    bed.run(100);
+    assertEquals(List.of(), bed.finals());
+    assertEquals(1, bed.ownSwitch.all("CANCEL").size());
+  }
+
+  @Test
+  void theSameCallerDialsAgainWhileItsOldCallIsRecovered() {
+    bed.invite("c1", 4);
+    bed.run(20);
+    bed.restart(100);
+    bed.invite("c2", 4);
+    bed.run(20);
     assertEquals(List.of("503"), bed.finals());
+    assertEquals(2, bed.attempts().size());
+    bed.ownSwitch.answer(bed.ownSwitch.last("CANCEL"), "200 OK", "", "");
+    bed.ownSwitch.answer(bed.attempts().get(0), "487 Over", "t", "");
+    bed.run(50);
+    bed.stand(bed.attempts().get(1), "c2");
+    assertEquals(List.of("503", "200"), bed.finals());
+    assertEquals(1, bed.front.controller().held());
+  }
+
+  @Test
+  void anInviteThatComesAgainIsNoSecondCallHoweverLongRecoveryTakes() {
+    String invite = bed.invite("c1", 4);
+    bed.run(20);
+    bed.restart(10);
+    for (int i = 0; i < 5; i++) {
+      bed.caller.send(bed.place, invite);
+      bed.run(5);
+    }
+    assertEquals(1, bed.attempts().size());
+    assertEquals(List.of("503"), bed.finals());
+  }
+
+  /** Both ends are starting too: each is asked three times before the call is let go. */
+  @Test
+  void endsThatCannotBeReachedAreAskedAgainAndThenReleased() {
+    standing();
+    bed.world.reachable("switch", false);
+    bed.restart(300);
+    bed.run(60_000);
+    assertEquals(1, bed.front.controller().held());
+    bed.run(80_000);
+    assertEquals(0, bed.front.controller().held());
+    assertTrue(!bed.caller.all("BYE").isEmpty());
+  }
+
+  @Test
+  void aSessionTimerThatRanBeforeTheRestartRunsOn() {
+    bed.invite("c1", 4);
+    bed.run(20);
+    bed.ownSwitch.answer(bed.attempts().get(0), "200 OK", "far", "Session-Expires: 90\r\n");
+    bed.run(10);
+    bed.fromCaller("ACK", "c1", 1, bed.callerTag());
+    bed.run(100);
+    bed.disk.flush();
+    bed.restart(300);
+    RawNode.Read asked = answerAll("OPTIONS", 85_000);
+    assertTrue(asked != null);
+    assertEquals(1, bed.front.controller().held());
+    bed.run(10_000);
+    assertEquals(0, bed.front.controller().held());
+  }
+
+  /** Both ends say that they hold the call; the last request that was answered. */
+  private RawNode.Read answerAll(String method, double lasts) {
+    bed.run(1_000);
+    RawNode.Read far = bed.ownSwitch.last(method);
+    bed.ownSwitch.answer(far, "200 OK", "", "");
+    bed.caller.answer(bed.caller.last(method), "200 OK", "", "");
+    bed.run(lasts);
+    return far;
   }
 
   @Test
--- a/sip/src/main/java/coveladder/sip/CallLeg.java
+++ b/sip/src/main/java/coveladder/sip/CallLeg.java
@@ -35,6 +35,7 @@
   private SipHost.Timer repeat;
   private SipHost.Timer give;
   private double gap;
+  private boolean releasing;
   private boolean ownReinvite;
   private boolean theirReinvite;
   private ReinviteAnswers reackOwed;
@@ -205,7 +206,8 @@
     boolean first = dialog == null || outstanding();
     if (state == State.CANCELLING) {
       dialog(Dialog.ofCaller(invite, response));
-      agent.release(invite, response);
+      releasing = true;
+      agent.release(invite, response, this::released);
       end();
       listener.answeredLate(this, response);
     } else if (first && state == State.CALLING) {
@@ -213,7 +215,7 @@
       state = State.ANSWERED;
       listener.answered(this, response);
     } else if (dialog == null || !dialog.remoteTag().equals(response.toTag())) {
-      agent.release(invite, response);
+      agent.release(invite, response, () -> {});
     } else if (ack != null) {
       agent.sendAgain(ack, dialog.hop());
     }
@@ -334,8 +336,7 @@
 
   void cancelled() {
     if (!caller && state == State.CALLING) {
-      reject(response(487));
-      listener.cancelled(this);
+      listener.cancelling(this, () -> reject(response(487)));
     }
   }
 
@@ -352,7 +353,33 @@
         bye.add("Reason", reason);
       }
       end();
-      agent.send(bye, dialog.hop(), ClientTransaction.Listener.IGNORE);
+      releasing = true;
+      agent.send(bye, dialog.hop(), new ByeAnswers());
+    }
+  }
+
+  /** Whether our BYE is out and not answered. */
+  public boolean releasing() {
+    return releasing;
+  }
+
+  private void released() {
+    releasing = false;
+    listener.released(this);
+  }
+
+  /** Hears of the end of our BYE, whatever it is. */
+  private final class ByeAnswers implements ClientTransaction.Listener {
+    @Override
+    public void response(SipResponse response) {
+      if (!response.provisional()) {
+        released();
+      }
+    }
+
+    @Override
+    public void failed(Failure failure) {
+      released();
     }
   }
 
--- a/sip/src/main/java/coveladder/sip/CallListener.java
+++ b/sip/src/main/java/coveladder/sip/CallListener.java
@@ -24,6 +24,17 @@
   /** Caller's side: a 2xx came after the cancel. ACK and BYE are out; the leg is over. */
   default void answeredLate(CallLeg leg, SipResponse response) {}
 
+  /**
+   * Callee's side: the caller called off. It is answered and told as {@link #cancelled}, unless the
+   * owner has something to do before the answer leaves.
+   *
+   * @param answer sends the 487
+   */
+  default void cancelling(CallLeg leg, Runnable answer) {
+    answer.run();
+    cancelled(leg);
+  }
+
   /** Callee's side: the caller called off before a final answer; 487 is out, the leg is over. */
   default void cancelled(CallLeg leg) {}
 
@@ -35,6 +46,9 @@
     transaction.respond(request.response(488));
   }
 
+  /** Our BYE, or the release of a late 2xx, was answered, or no answer will come. */
+  default void released(CallLeg leg) {}
+
   /** The answered call is over: by BYE from the other side, or null where it fell silent. */
   default void ended(CallLeg leg, SipRequest bye) {}
 }
--- a/sip/src/main/java/coveladder/sip/Dialog.java
+++ b/sip/src/main/java/coveladder/sip/Dialog.java
@@ -10,7 +10,7 @@
  * <p>It makes requests within the dialog and keeps the order of those that come in.
  */
 public final class Dialog {
-  private static final long RESUME_JUMP = 1_000;
+  private static final long LIFE_JUMP = 1_000;
 
   private final String callId;
   private final String localTag;
@@ -77,19 +77,27 @@
    * @param remote last number of the other side
    * @param target where requests go
    */
-  public record Progress(long local, long remote, String target) {}
+  public record Progress(long local, long remote, String target) {
+
+    /**
+     * The same in a later life of this side. Own numbers jump past all that a life before may have
+     * used without keeping it; a gap is in order (section 12.2.1.1).
+     *
+     * @param life number of that life, from 1 on; it grows with each
+     */
+    public Progress inLife(int life) {
+      return new Progress(local + LIFE_JUMP * life, remote, target);
+    }
+  }
 
   /** What has changed since the dialog was made. */
   public Progress progress() {
     return new Progress(localSeq, remoteSeq, target);
   }
 
-  /**
-   * Goes on from what was kept. Own numbers jump, as some may have been used that were not kept; a
-   * gap is in order (section 12.2.1.1).
-   */
+  /** Goes on from what was kept. */
   public void resume(Progress kept) {
-    localSeq = kept.local() + RESUME_JUMP;
+    localSeq = kept.local();
     remoteSeq = kept.remote();
     target = kept.target();
   }
--- a/sip/src/main/java/coveladder/sip/UserAgent.java
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -177,6 +177,7 @@
   private final class Revived implements ClientTransaction.Listener {
     private final SipRequest invite;
     private final Runnable over;
+    private boolean released;
 
     Revived(SipRequest invite, Runnable over) {
       this.invite = invite;
@@ -185,17 +186,19 @@
 
     @Override
     public void response(SipResponse response) {
-      if (response.success()) {
-        release(invite, response);
-      }
-      if (!response.provisional()) {
+      if (response.success() && !released) {
+        released = true;
+        release(invite, response, over);
+      } else if (!response.provisional() && !released) {
         over.run();
       }
     }
 
     @Override
     public void failed(Failure failure) {
-      over.run();
+      if (!released) {
+        over.run();
+      }
     }
   }
 
@@ -236,11 +239,46 @@
     taken.remove(invite);
   }
 
-  /** Acknowledges a 2xx that nobody wants any more and releases it at once. */
-  void release(SipRequest invite, SipResponse response) {
+  /**
+   * Releases a 2xx that nobody wants any more. The BYE goes first, and the ACK once it is answered:
+   * should this process end in between, the other side repeats its 2xx and so is released after
+   * all. A caller may send BYE from the first answer on (RFC 3261 section 15).
+   */
+  void release(SipRequest invite, SipResponse response, Runnable done) {
     Dialog dialog = Dialog.ofCaller(invite, response);
-    sendAck(dialog.ack(response.cseq().number()), dialog.hop());
-    send(dialog.request("BYE"), dialog.hop(), ClientTransaction.Listener.IGNORE);
+    Runnable acknowledge = () -> sendAck(dialog.ack(response.cseq().number()), dialog.hop());
+    send(dialog.request("BYE"), dialog.hop(), new Released(acknowledge, dialog, done));
+  }
+
+  /** Hears of the BYE that releases a late 2xx; one that wants its ACK first gets another BYE. */
+  private final class Released implements ClientTransaction.Listener {
+    private final Runnable acknowledge;
+    private final Dialog dialog;
+    private final Runnable done;
+
+    Released(Runnable acknowledge, Dialog dialog, Runnable done) {
+      this.acknowledge = acknowledge;
+      this.dialog = dialog;
+      this.done = done;
+    }
+
+    @Override
+    public void response(SipResponse response) {
+      if (response.provisional()) {
+        return;
+      }
+      acknowledge.run();
+      if (response.status() >= 490) {
+        send(dialog.request("BYE"), dialog.hop(), ClientTransaction.Listener.IGNORE);
+      }
+      done.run();
+    }
+
+    @Override
+    public void failed(Failure failure) {
+      acknowledge.run();
+      done.run();
+    }
   }
 
   // ---- From the transactions ----------------------------------------------------------------
@@ -311,8 +349,8 @@
     private CallListener listener;
 
     @Override
-    public void cancelled(CallLeg leg) {
-      listener.cancelled(leg);
+    public void cancelling(CallLeg leg, Runnable answer) {
+      listener.cancelling(leg, answer);
     }
 
     @Override
@@ -329,6 +367,11 @@
     public void ended(CallLeg leg, SipRequest bye) {
       listener.ended(leg, bye);
     }
+
+    @Override
+    public void released(CallLeg leg) {
+      listener.released(leg);
+    }
   }
 
   @Override
@@ -359,7 +402,7 @@
       leg.strayOk(response);
     }
     if (!standing && response.address("Contact") != null && response.toTag() != null) {
-      release(invite, response);
+      release(invite, response, () -> {});
     }
   }
 }
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -138,11 +138,7 @@
     @Override
     public void answered(CallLeg leg, SipResponse response) {
       answer = response;
-      boolean offered = leg.invite().body().length == 0 && response.body().length > 0;
-      ackOwed = offered;
-      if (!offered) {
-        leg.ack(null);
-      }
+      ackOwed = leg.invite().body().length == 0 && response.body().length > 0;
       front.controller().attemptStands(id, number);
       if (leg.state() == CallLeg.State.ENDED) {
         over(new WireOutcome(Outcome.CANCELLED, Reason.NONE, 0));
@@ -185,6 +181,11 @@
       over(WireOutcome.ofBye(bye));
     }
 
+    @Override
+    public void released(CallLeg leg) {
+      front.released(id, Bridge.this);
+    }
+
     private void over(WireOutcome outcome) {
       front
           .controller()
@@ -198,7 +199,13 @@
   /** Hears of the caller. */
   private final class CallerSide implements CallListener {
     @Override
-    public void cancelled(CallLeg leg) {
+    public void cancelling(CallLeg leg, Runnable answer) {
+      front.callerLeaves(
+          id,
+          () -> {
+            answer.run();
+            front.tidy(id);
+          });
       front.controller().callerLeft(id);
       front.tidy(id);
     }
@@ -228,6 +235,11 @@
       front.controller().callerReleased(id);
       front.tidy(id);
     }
+
+    @Override
+    public void released(CallLeg leg) {
+      front.released(id, Bridge.this);
+    }
   }
 
   /** Makes the caller's final answer ready without sending it. */
@@ -258,11 +270,18 @@
     return attempt;
   }
 
-  /** Gives the caller its one final answer. */
+  /**
+   * Gives the caller its one final answer. The callee's 2xx is acknowledged only now that the call
+   * is kept: one that was not would be called off after a crash, and a callee that had its ACK
+   * would not hear of that.
+   */
   void answer(FinalAnswer given) {
     SipResponse response = prepare(given);
     prepared = null;
     if (given.kind() == FinalAnswer.Kind.STANDS) {
+      if (!ackOwed) {
+        attemptLeg.ack(null);
+      }
       caller.accept(response);
       watchSession(answer);
       answer = null;
@@ -276,6 +295,11 @@
     caller.bye(ReasonField.write(cause, false));
   }
 
+  /** Whether a BYE of either leg is out and not answered. */
+  boolean releasing() {
+    return attemptLeg != null && attemptLeg.releasing() || caller.releasing();
+  }
+
   /** Whether nothing is left to do for the call. */
   boolean over() {
     boolean attemptOver =
--- a/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
@@ -84,6 +84,12 @@
     return front.bridge(call).prepare(answer).toBytes();
   }
 
+  @Override
+  public boolean releasing(String call) {
+    Bridge bridge = front.bridge(call);
+    return bridge != null && bridge.releasing();
+  }
+
   @Override
   public void prepareStands(String call) {
     front.bridge(call).prepare(FinalAnswer.STANDS);
@@ -92,7 +98,7 @@
   // ---- After a restart ----------------------------------------------------------------------
 
   @Override
-  public void resume(SavedCall saved) {
+  public void resume(SavedCall saved, boolean owed, int life) {
     LegRecord from = LegRecord.read(saved.callerLeg());
     LegRecord to = LegRecord.read(saved.attemptLeg());
     Bridge bridge = new Bridge(front, saved.id(), saved.call().transit(), null);
@@ -104,8 +110,8 @@
                 from.request(),
                 from.hop(),
                 from.response(),
-                from.acknowledged(),
-                from.progress() == null ? begun(from) : from.progress(),
+                from.acknowledged() || !owed,
+                (from.progress() == null ? begun(from) : from.progress()).inLife(life),
                 bridge.callerSide());
     CallLeg attempt =
         front
@@ -114,7 +120,7 @@
                 to.request(),
                 to.hop(),
                 to.response(),
-                to.progress(),
+                to.progress().inLife(life),
                 bridge.attemptSide(saved.attempt()));
     bridge.resume(caller, attempt, saved.attempt(), to.session());
   }
@@ -174,10 +180,16 @@
   }
 
   @Override
-  public void expectCaller(SavedCall saved) {
+  public void expectCaller(SavedCall saved, Consumer<Runnable> whenCalledOff) {
     LegRecord from = LegRecord.read(saved.callerLeg());
-    CallListener nobody = new CallListener() {};
-    CallLeg leg = front.agent().resumeUnanswered(from.request(), from.hop(), from.tag(), nobody);
+    CallListener waits =
+        new CallListener() {
+          @Override
+          public void cancelling(CallLeg leg, Runnable answer) {
+            whenCalledOff.accept(answer);
+          }
+        };
+    CallLeg leg = front.agent().resumeUnanswered(from.request(), from.hop(), from.tag(), waits);
     expected.put(saved.id(), leg);
     front.host().after(front.settings().timing().life(), () -> abandon(saved.id()));
   }
@@ -191,14 +203,25 @@
   }
 
   @Override
-  public void answerCutShort(SavedCall saved, FinalAnswer answer) {
+  public byte[] cutShortAnswer(SavedCall saved, FinalAnswer answer) {
+    CallLeg leg = expected.get(saved.id());
+    return FinalResponses.of(leg, answer, saved.call().transit(), front.settings()).toBytes();
+  }
+
+  @Override
+  public void answerCalledOff(SavedCall saved) {
     CallLeg leg = expected.remove(saved.id());
-    leg.reject(FinalResponses.of(leg, answer, saved.call().transit(), front.settings()));
+    if (leg != null) {
+      leg.reject(leg.response(487));
+    }
   }
 
   @Override
   public void answerAgain(SavedCall saved) {
     LegRecord answer = new LegRecord(front.ownSwitch(), "", false, null, 0, NONE, saved.answer());
-    expected.remove(saved.id()).reject(answer.response());
+    CallLeg leg = expected.remove(saved.id());
+    if (leg != null) {
+      leg.reject(answer.response());
+    }
   }
 }
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -30,6 +30,7 @@
 import coveladder.sip.SipStack;
 import coveladder.sip.SipUri;
 import coveladder.sip.Subscriber;
+import coveladder.sip.Transport;
 import coveladder.sip.UserAgent;
 import coveladder.sip.Via;
 import java.util.HashMap;
@@ -109,7 +110,9 @@
       CallController.Journal both = new KeepingJournal(journal, writeAhead, pace, clock);
       this.controller = new CallController(rules, writeAhead, guard, both, policies);
       writeAhead.controller(controller);
-      this.recovery = new Recovery(controller, writeAhead, keeping.store(), legs, clock, pace);
+      this.recovery =
+          new Recovery(
+              controller, writeAhead, keeping.store(), legs, clock, pace, settings.patience());
     }
     this.list = subscriber(LIST_EVENT, settings.listServer(), new ListWatcher());
     this.circuits = subscriber(CIRCUIT_EVENT, settings.ownSwitch(), new CircuitWatcher());
@@ -150,6 +153,22 @@
     }
   }
 
+  /** A BYE of a call is settled; with the last of them nothing of it is left at any end. */
+  void released(String call, Bridge bridge) {
+    if (writeAhead != null && !bridge.releasing()) {
+      writeAhead.released(call);
+    }
+  }
+
+  /** A caller called off; its answer leaves once that is kept. */
+  void callerLeaves(String call, Runnable answer) {
+    if (writeAhead == null) {
+      answer.run();
+    } else {
+      writeAhead.callerLeaves(call, answer);
+    }
+  }
+
   private Subscriber subscriber(String event, Hop at, Subscriber.Watcher watcher) {
     String target = "sip:" + event + '@' + at.host() + ':' + at.port();
     String self = "sip:controller@" + settings.domain();
@@ -251,7 +270,8 @@
   public CallListener incoming(CallLeg leg) {
     SipUri uri = SipUri.parse(leg.invite().uri());
     int destination = controller.list().numberOf(uri.host());
-    if (bridges.size() >= settings.maxCalls() || controller.list().version() < 0) {
+    boolean full = bridges.size() >= settings.maxCalls();
+    if (full || controller.list().version() < 0 || mayBeOld(leg)) {
       int wait = settings.retryAfter();
       leg.reject(FinalResponses.unavailable(leg, ReasonField.CONGESTION, false, wait));
       return null;
@@ -272,6 +292,15 @@
     return taking.callerSide();
   }
 
+  /**
+   * After calls had gone on unkept an INVITE that comes by UDP may be the repeat of one whose
+   * attempt is out: no attempt is made for such while a caller of before can still wait. What comes
+   * by TCP is new, as all connections were made since.
+   */
+  private boolean mayBeOld(CallLeg leg) {
+    return recovery != null && recovery.unsure() && leg.hop().transport() == Transport.UDP;
+  }
+
   @Override
   public void taken(CallLeg leg) {
     Bridge bridge = taking;
--- a/standin/src/main/java/coveladder/standin/StandinCallers.java
+++ b/standin/src/main/java/coveladder/standin/StandinCallers.java
@@ -10,9 +10,11 @@
 import coveladder.sip.SipResponse;
 import coveladder.sip.SipStack;
 import coveladder.sip.Timing;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -28,6 +30,7 @@
   private final Map<Integer, Hop> controllers;
   private final Habits habits;
   private final Consumer<Fate> fates;
+  private final Set<Caller> callers = new LinkedHashSet<>();
   private List<CallPlan> plans = List.of();
   private volatile int next;
   private volatile int open;
@@ -96,6 +99,14 @@
     return open;
   }
 
+  /** Calls that stand now through a controller. On the callers' thread. */
+  public List<CallPlan> standing(int controller) {
+    return callers.stream()
+        .filter(caller -> caller.plan.from() == controller && caller.stands())
+        .map(caller -> caller.plan)
+        .toList();
+  }
+
   /** One caller with its call. */
   private final class Caller implements CallListener {
     private final CallPlan plan;
@@ -110,6 +121,11 @@
 
     Caller(CallPlan plan) {
       this.plan = plan;
+      callers.add(this);
+    }
+
+    boolean stands() {
+      return leg != null && leg.state() == CallLeg.State.CONFIRMED;
     }
 
     void dial() {
@@ -217,6 +233,7 @@
     private void over() {
       leg = null;
       open--;
+      callers.remove(this);
       fates.accept(new Fate(plan, tries, stoodAfter, wasCut, last));
     }
   }
--- a/store/src/main/java/coveladder/store/CallFile.java
+++ b/store/src/main/java/coveladder/store/CallFile.java
@@ -17,18 +17,33 @@
    */
   private static final int RETENTION = 1_000;
 
+  private static final String LIVES = "lives";
   private static final int FILL_WANTED = 60;
   private static final int MOVED_AT_A_TIME = 1 << 20;
 
   private final MVStore store;
   private final MVMap<String, byte[]> calls;
+  private final MVMap<String, Integer> about;
 
   private CallFile(MVStore store) {
     this.store = store;
     this.calls = store.openMap("calls");
+    this.about = store.openMap("about");
     store.setRetentionTime(RETENTION);
   }
 
+  /** Counts one more opening of the file; how many that makes. */
+  int beginLife() {
+    int life = about.getOrDefault(LIVES, 0) + 1;
+    about.put(LIVES, life);
+    return life;
+  }
+
+  /** Takes over how often the file in whose place this one is had been opened. */
+  void life(int count) {
+    about.put(LIVES, count);
+  }
+
   static CallFile open(String name) {
     return new CallFile(builder(name).open());
   }
@@ -85,6 +100,7 @@
   /** Puts all records into another file. */
   void copyTo(CallFile other) {
     calls.forEach(other::put);
+    other.life(about.getOrDefault(LIVES, 0));
     other.commit();
   }
 
--- a/store/src/main/java/coveladder/store/DiskStore.java
+++ b/store/src/main/java/coveladder/store/DiskStore.java
@@ -27,6 +27,7 @@
  */
 public final class DiskStore implements CallStore, AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(DiskStore.class);
+  private static final int CAUGHT_UP = -1;
   private static final int BATCH = 4_096;
   private static final int QUEUE = 100_000;
   private static final long CLOSE_WITHIN = 10_000;
@@ -54,7 +55,8 @@
   /**
    * A change, or somebody who waits for all changes before, or the word that all was put again.
    *
-   * @param fresh which try to begin anew all was put again for; 0: none
+   * @param fresh which try to begin anew all was put again for; 0: none, -1: none, but all that was
+   *     found behind has been set right
    */
   private record Work(String id, byte[] record, Consumer<Boolean> waits, int fresh) {}
 
@@ -96,9 +98,12 @@
     this.file = openFile(damaged);
     boolean behind = folder.behind();
     List<SavedCall> calls = file.readAll(folder, damaged);
+    int life = file.beginLife();
     file.commit();
-    folder.markInStep();
-    this.found = new Found(List.copyOf(calls), List.copyOf(damaged), behind);
+    if (!behind) {
+      folder.markInStep();
+    }
+    this.found = new Found(List.copyOf(calls), List.copyOf(damaged), behind, life);
     writer.setDaemon(true);
     writer.start();
   }
@@ -131,6 +136,11 @@
     putAll = all;
   }
 
+  @Override
+  public void caughtUp() {
+    enqueue(new Work(null, null, null, CAUGHT_UP));
+  }
+
   @Override
   public void put(SavedCall call) {
     enqueue(new Work(call.id(), RecordCodec.write(call), null, 0));
@@ -185,6 +195,8 @@
     for (Work work : batch) {
       if (work.waits() != null) {
         loop.execute(() -> work.waits().accept(safe));
+      } else if (work.fresh() == CAUGHT_UP && safe) {
+        markInStep();
       } else if (work.fresh() == tries && work.fresh() > 0 && file != null) {
         inStepAgain();
       }
@@ -196,7 +208,7 @@
     boolean wanted = batch.isEmpty();
     try {
       for (Work work : batch) {
-        wanted |= work.waits() != null || work.fresh() > 0;
+        wanted |= work.waits() != null || work.fresh() != 0;
         if (work.record() != null) {
           file.put(work.id(), work.record());
         } else if (work.id() != null) {
@@ -259,6 +271,7 @@
     try {
       Files.deleteIfExists(folder.fresh());
       file = open(folder.fresh());
+      file.life(found.life());
       beginning = true;
       tries++;
       int own = tries;
@@ -275,6 +288,14 @@
     }
   }
 
+  private void markInStep() {
+    try {
+      folder.markInStep();
+    } catch (IOException e) {
+      failed(e.getMessage());
+    }
+  }
+
   /** All that is kept is in the new file, and safe: it takes the place of the failed one. */
   private void inStepAgain() {
     try {
--- a/store/src/test/java/coveladder/store/DiskStoreTest.java
+++ b/store/src/test/java/coveladder/store/DiskStoreTest.java
@@ -63,6 +63,11 @@
     }
     try (DiskStore store = open()) {
       assertTrue(store.found().behind());
+      assertEquals(2, store.found().life());
+    }
+    try (DiskStore store = open()) {
+      assertTrue(store.found().behind());
+      store.caughtUp();
       assertTrue(store.found().calls().contains(saved("a", Phase.STANDS, "leg")));
     }
     try (DiskStore store = open()) {
