rehearse restart, region, upgrade: controllers as processes, killed by SIGKILL amid calls

Change: RestartRehearsal raises stand-ins here and eight controllers as processes, kills or replaces them at drawn times and judges from what their peers sent and read (OutsideView); calls that stood at a kill are followed to their end. The wire and the logs stay on disk where a rule broke. Standing calls sleep after a start: their legs are made when a message of theirs comes, by dialog or by a repeat of the INVITE. Records are decoded on all processors.

--- a/app/src/main/java/coveladder/app/RehearseCommand.java
+++ b/app/src/main/java/coveladder/app/RehearseCommand.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -28,6 +29,12 @@
       "Exit status 0 only if the checker finds all five rules kept and every call ended."
     })
 final class RehearseCommand implements Callable<Integer> {
+  private static final Map<String, RestartRehearsal.Mode> PROCESSES =
+      Map.of(
+          "restart", RestartRehearsal.Mode.RESTART,
+          "region", RestartRehearsal.Mode.REGION,
+          "upgrade", RestartRehearsal.Mode.UPGRADE);
+
   @Spec private CommandSpec spec;
 
   @Parameters(
@@ -51,11 +58,26 @@
       description = "play so many seeds in virtual time, from --seed on")
   private int seeds;
 
+  @Option(
+      names = "--calls",
+      defaultValue = "5000",
+      description = "calls of restart, region and upgrade, about (${DEFAULT-VALUE})")
+  private int calls;
+
+  @Option(
+      names = "--ends",
+      defaultValue = "60",
+      description = "how many times controllers end in them (${DEFAULT-VALUE})")
+  private int ends;
+
   @Override
   public Integer call() throws Exception {
     PrintWriter out = spec.commandLine().getOut();
     if (name.equals("list")) {
       Days.all().values().forEach(day -> out.printf("%-14s %s%n", day.name(), day.about()));
+      out.println("restart        controllers as processes, killed by SIGKILL amid 5,000 calls");
+      out.println("region         the same, all of them at once; try --ends 5");
+      out.println("upgrade        the same, each taken over by a new process instead");
       return 0;
     }
     if (name.equals("boundaries")) {
@@ -63,6 +85,10 @@
       out.printf("%d boundaries, a kill at each in turn%n", all);
       return sweep(out, SeedSweep.ofBoundaries(Days.boundaries(), seed), 1, (int) all);
     }
+    if (PROCESSES.containsKey(name)) {
+      RestartRehearsal.Mode mode = PROCESSES.get(name);
+      return new RestartRehearsal(mode, seed, calls, ends, out).play() ? 0 : 1;
+    }
     if (seeds > 0) {
       return sweep(out, sweepOfSeeds(), seed, seeds);
     }
--- /dev/null
+++ b/app/src/main/java/coveladder/app/SettingsText.java
@@ -0,0 +1,36 @@
+package coveladder.app;
+
+import coveladder.rehearsal.Fleet;
+import coveladder.rehearsal.FleetPlan;
+import java.nio.file.Path;
+
+/** Writes settings for a controller among stand-ins on this machine. */
+final class SettingsText {
+  private SettingsText() {}
+
+  /**
+   * Settings of one controller.
+   *
+   * @param state folder that its calls are kept in
+   */
+  static String of(FleetPlan plan, int number, int listen, int ownSwitch, int list, Path state) {
+    StringBuilder text = new StringBuilder();
+    text.append("// Settings of one controller; checked by: coveladder check FILE\n");
+    text.append("listen port=").append(listen).append('\n');
+    text.append("domain \"").append(Fleet.domain(number)).append("\"\n");
+    text.append("exchange number=").append(number).append('\n');
+    text.append("fleet controllers=").append(plan.exchanges()).append('\n');
+    text.append("switch port=").append(ownSwitch).append('\n');
+    text.append("list port=").append(list).append('\n');
+    text.append("state folder=\"").append(state.toAbsolutePath()).append("\"\n");
+    for (FleetPlan.Kind kind : plan.kinds()) {
+      text.append("class \"").append(kind.name()).append("\" worth=").append(kind.worth());
+      text.append(" late=").append(kind.late()).append(" aim=").append(kind.aim());
+      text.append(" give-up=").append(kind.giveUp()).append(" width=").append(kind.width());
+      text.append(" hold=").append(kind.hold());
+      text.append(" priority=\"").append(kind.priority()).append('"');
+      text.append(kind == plan.kinds().get(0) ? " default=#true" : "").append('\n');
+    }
+    return text.append("seed value=").append(number + 1).append('\n').toString();
+  }
+}
--- a/app/src/main/java/coveladder/app/StandinCommand.java
+++ b/app/src/main/java/coveladder/app/StandinCommand.java
@@ -133,31 +133,19 @@
     Files.createDirectories(folder);
     for (int i = 0; i < exchanges; i++) {
       Path file = folder.resolve("x" + i + ".kdl");
-      Files.writeString(file, settings(plan, i));
+      Files.writeString(
+          file,
+          SettingsText.of(
+              plan,
+              i,
+              basePort + CONTROLLERS + i,
+              basePort + SWITCHES + i,
+              basePort,
+              folder.resolve("state-x" + i)));
       out.printf(
           "%s: switch %d, controller %d, settings %s%n",
           Fleet.domain(i), basePort + SWITCHES + i, basePort + CONTROLLERS + i, file);
     }
     out.printf("list server %d; ends after %d minutes%n", basePort, minutes);
   }
-
-  private String settings(FleetPlan plan, int number) {
-    StringBuilder text = new StringBuilder();
-    text.append("// Settings of one controller; checked by: coveladder check FILE\n");
-    text.append("listen port=").append(basePort + CONTROLLERS + number).append('\n');
-    text.append("domain \"").append(Fleet.domain(number)).append("\"\n");
-    text.append("exchange number=").append(number).append('\n');
-    text.append("fleet controllers=").append(exchanges).append('\n');
-    text.append("switch port=").append(basePort + SWITCHES + number).append('\n');
-    text.append("list port=").append(basePort).append('\n');
-    for (FleetPlan.Kind kind : plan.kinds()) {
-      text.append("class \"").append(kind.name()).append("\" worth=").append(kind.worth());
-      text.append(" late=").append(kind.late()).append(" aim=").append(kind.aim());
-      text.append(" give-up=").append(kind.giveUp()).append(" width=").append(kind.width());
-      text.append(" hold=").append(kind.hold());
-      text.append(" priority=\"").append(kind.priority()).append('"');
-      text.append(kind == plan.kinds().get(0) ? " default=#true" : "").append('\n');
-    }
-    return text.append("seed value=").append(number + 1).append('\n').toString();
-  }
 }
--- a/bench/src/main/java/coveladder/bench/WholePath.java
+++ b/bench/src/main/java/coveladder/bench/WholePath.java
@@ -6,6 +6,7 @@
 import coveladder.NestedThresholdPolicy;
 import coveladder.core.AttemptGuard;
 import coveladder.core.CallController;
+import coveladder.core.recovery.RecoveryPace;
 import coveladder.net.EventLoop;
 import coveladder.net.SocketLimits;
 import coveladder.net.SocketNode;
@@ -17,14 +18,17 @@
 import coveladder.sipfront.ClassTable;
 import coveladder.sipfront.FrontSettings;
 import coveladder.sipfront.SipFront;
+import coveladder.store.DiskStore;
 import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 
 /**
  * Whole set-ups through one controller on loopback: rate, delay, allocation, heap for each standing
- * call, and the module's share of the time. Arguments: transport, calls a second, calls, and {@code
- * hold} for calls that stay.
+ * call, and the module's share of the time. Arguments: transport, calls a second, calls, {@code
+ * hold} for calls that stay, {@code kept} for calls that are kept on disk.
  */
 public final class WholePath {
   private static final int QUEUE = 1_000_000;
@@ -36,14 +40,15 @@
     Transport transport = Transport.named(arguments[0]);
     double rate = Double.parseDouble(arguments[1]);
     int calls = Integer.parseInt(arguments[2]);
-    boolean hold = arguments.length > 3 && arguments[3].equals("hold");
+    List<String> options = List.of(arguments).subList(3, arguments.length);
+    Path folder = options.contains("kept") ? Files.createTempDirectory("kept") : null;
     try (Sockets sockets = new Sockets(2)) {
-      new Run(sockets, transport, rate, calls, hold).play();
+      new Run(sockets, transport, rate, calls, options.contains("hold"), folder).play();
     }
   }
 
   /** One run. */
-  private static final class Run {
+  static final class Run {
     private final long origin = System.nanoTime();
     private final EventLoop callerLoop = new EventLoop("caller", origin, QUEUE);
     private final EventLoop controllerLoop = new EventLoop("controller", origin, QUEUE);
@@ -53,10 +58,11 @@
     private final double rate;
     private final int calls;
     private final TimedPolicy.Clock clock = new TimedPolicy.Clock();
+    private final DiskStore store;
     private final SipFront front;
     private final EchoCaller caller;
 
-    Run(Sockets sockets, Transport transport, double rate, int calls, boolean hold)
+    Run(Sockets sockets, Transport transport, double rate, int calls, boolean hold, Path folder)
         throws Exception {
       this.transport = transport;
       this.hold = hold;
@@ -65,6 +71,7 @@
       SocketNode switchNode = node(sockets, switchLoop);
       SocketNode controllerNode = node(sockets, controllerLoop);
       SocketNode callerNode = node(sockets, callerLoop);
+      store = folder == null ? null : new DiskStore(folder, controllerLoop::execute);
       Hop own = new Hop(transport, "127.0.0.1", switchNode.port());
       front =
           new SipFront(
@@ -73,7 +80,8 @@
               rules(),
               new AttemptGuard(300, 250),
               CallController.Journal.NONE,
-              actions -> new TimedPolicy(new NestedThresholdPolicy(rules(), 1, actions), clock));
+              actions -> new TimedPolicy(new NestedThresholdPolicy(rules(), 1, actions), clock),
+              store == null ? null : keeping());
       caller =
           new EchoCaller(
               callerNode,
@@ -91,7 +99,12 @@
       return new SocketNode(sockets, loop, SocketLimits.USUAL, "127.0.0.1", 0, 1);
     }
 
-    private FrontSettings settings(Hop own) {
+    private SipFront.Keeping keeping() {
+      RecoveryPace.Budget budget = new RecoveryPace.Budget(200, 2_000);
+      return new SipFront.Keeping(store, budget, System::currentTimeMillis);
+    }
+
+    static FrontSettings settings(Hop own) {
       return new FrontSettings(
           "x0.example",
           own,
@@ -105,7 +118,7 @@
           new SipStack.Limits(128, 2_000_000));
     }
 
-    private static CallPolicy.Settings rules() {
+    static CallPolicy.Settings rules() {
       CallClass plain = new CallClass(1, 0.2, 5_000, 30_000, 1, 60_000, List.of());
       return new CallPolicy.Settings(
           Layout.MESH,
@@ -149,9 +162,10 @@
       int stood = caller.stood();
       System.out.printf(
           Locale.ROOT,
-          "%s%s: %d stood, %d refused, %.0f a second%n",
+          "%s%s%s: %d stood, %d refused, %.0f a second%n",
           transport,
           hold ? " held" : "",
+          store == null ? "" : " kept",
           stood,
           caller.refused(),
           caller.rate());
@@ -167,6 +181,14 @@
           "  controller's loop: %.0f bytes allocated a call, module %.1f us a call%n",
           (double) allocated / stood,
           clock.nanos() / 1000.0 / stood);
+      if (store != null) {
+        System.out.printf(
+            Locale.ROOT,
+            "  %d commits, %d unkept %s%n",
+            store.commits(),
+            front.writeAhead().unkept(),
+            store.failure());
+      }
       if (hold) {
         // Transactions last 64*T1; what is left then is what a standing call costs.
         Thread.sleep(35_000);
--- /dev/null
+++ b/rehearsal/src/main/java/coveladder/rehearsal/OutsideView.java
@@ -0,0 +1,80 @@
+package coveladder.rehearsal;
+
+import coveladder.sip.Hop;
+import coveladder.sip.Transport;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The wire of controllers that run as processes of their own, told from what their peers sent and
+ * read: what a peer sent to a controller counts as read by it then, what a peer read as sent by the
+ * controller when it arrived. What was sent to a process that was down counts as read too; the
+ * checker excuses calls by the notes on kills and starts.
+ */
+public final class OutsideView {
+  private final Map<Integer, String> byPort = new HashMap<>();
+  private final Map<String, Hop> places;
+  private final Map<Hop, String> connections = new HashMap<>();
+
+  /**
+   * Makes a view.
+   *
+   * @param controllers place of each controller by its number
+   * @param peers place of each peer by its name
+   */
+  public OutsideView(Map<Integer, Hop> controllers, Map<String, Hop> peers) {
+    controllers.forEach((number, hop) -> byPort.put(hop.port(), Fleet.controllerName(number)));
+    places = Map.copyOf(peers);
+  }
+
+  /** All entries, the controllers' added, in the order of their times. */
+  public List<Tap.Entry> with(List<Tap.Entry> seen) {
+    List<Tap.Entry> all = new ArrayList<>();
+    for (Tap.Entry entry : seen) {
+      all.add(entry);
+      String controller = entry.message() == null ? null : controller(entry);
+      if (controller != null) {
+        all.add(mirrored(entry, controller));
+      }
+    }
+    all.sort(Comparator.comparingDouble(Tap.Entry::time));
+    return all;
+  }
+
+  private Tap.Entry mirrored(Tap.Entry entry, String controller) {
+    Hop peer = places.get(entry.node()).by(entry.peer().transport());
+    boolean sent = entry.kind() == Tap.Kind.SENT;
+    double time = sent ? entry.time() : entry.arrived();
+    Tap.Kind kind = sent ? Tap.Kind.READ : Tap.Kind.SENT;
+    return new Tap.Entry(time, controller, kind, peer, time, entry.message(), null, null);
+  }
+
+  /** The controller at the other side of a message; null if it is none. */
+  private String controller(Tap.Entry entry) {
+    String direct = byPort.get(entry.peer().port());
+    if (direct != null || entry.peer().transport() == Transport.UDP) {
+      return direct;
+    }
+    if (entry.kind() == Tap.Kind.READ) {
+      learn(entry);
+    }
+    return connections.get(entry.peer());
+  }
+
+  /** A connection that a controller opened has any port; the Via of its requests tells whose. */
+  private void learn(Tap.Entry entry) {
+    WireMessage message = WireMessage.read(entry.message());
+    if (message != null && message.status() == 0) {
+      String by = message.sentBy();
+      int port = Integer.parseInt(by.substring(by.lastIndexOf(':') + 1));
+      if (byPort.containsKey(port)) {
+        connections.put(entry.peer(), byPort.get(port));
+      } else {
+        connections.remove(entry.peer());
+      }
+    }
+  }
+}
--- a/rehearsal/src/main/java/coveladder/rehearsal/Tap.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/Tap.java
@@ -2,9 +2,12 @@
 
 import coveladder.sip.Failure;
 import coveladder.sip.Hop;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * Everything that crossed the wire, as seen at each node: what the checker judges from. Safe for
@@ -70,6 +73,24 @@
     add(new Entry(time, node, Kind.NOTE, null, time, null, null, note));
   }
 
+  /** Prints all entries, messages as they were. */
+  public void print(PrintWriter out) {
+    for (Entry entry : entries()) {
+      String text =
+          entry.message() == null
+              ? String.valueOf(entry.failure() == null ? entry.note() : entry.failure())
+              : new String(entry.message(), StandardCharsets.ISO_8859_1).trim();
+      out.printf(
+          Locale.ROOT,
+          "%.3f %s %s %s%n%s%n%n",
+          entry.time(),
+          entry.node(),
+          entry.kind(),
+          entry.peer(),
+          text);
+    }
+  }
+
   private synchronized void add(Entry entry) {
     if (entries.size() < MOST) {
       entries.add(entry);
--- a/rehearsal/src/main/java/coveladder/rehearsal/WireMessage.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/WireMessage.java
@@ -95,6 +95,11 @@
     return parameter(header("to"), "tag");
   }
 
+  /** Host and port of the topmost Via. */
+  String sentBy() {
+    return header("via").split("[ ;,]")[1];
+  }
+
   /** Whether it came by UDP, as its topmost Via says. */
   boolean datagram() {
     return header("via").startsWith("SIP/2.0/UDP");
--- a/sip/src/main/java/coveladder/sip/UserAgent.java
+++ b/sip/src/main/java/coveladder/sip/UserAgent.java
@@ -31,6 +31,7 @@
   private final TransactionLayer layer;
   private final Owner owner;
   private final Map<String, CallLeg> legs = new HashMap<>();
+  private final Map<String, Runnable> asleep = new HashMap<>();
   private final Map<ServerTransaction, CallLeg> taken = new HashMap<>();
   private long tags;
 
@@ -125,6 +126,34 @@
 
   // ---- After a restart ----------------------------------------------------------------------
 
+  /**
+   * Names what makes the legs of a call that stood once a message of it comes: a start with very
+   * many need not read them all.
+   *
+   * @param key a dialog's, or that of the INVITE as it may come again
+   */
+  public void expect(String key, Runnable wake) {
+    asleep.put(key, wake);
+  }
+
+  /** Expects it no more. */
+  public void expectNot(String key) {
+    asleep.remove(key);
+  }
+
+  /** Key of an INVITE outside of a dialog, whichever way it comes again. */
+  public static String repeatKey(String callId, String fromTag) {
+    return callId + ' ' + fromTag;
+  }
+
+  private CallLeg find(String key) {
+    Runnable wake = asleep.isEmpty() ? null : asleep.get(key);
+    if (wake != null) {
+      wake.run();
+    }
+    return legs.get(key);
+  }
+
   /** Goes on with a call that stood, as its caller, from the INVITE as sent and its 2xx. */
   public CallLeg resumeCaller(
       SipRequest invite,
@@ -326,7 +355,7 @@
   }
 
   private void within(ServerTransaction transaction, SipRequest request) {
-    CallLeg leg = legs.get(Dialog.key(request.callId(), request.toTag(), request.fromTag()));
+    CallLeg leg = find(Dialog.key(request.callId(), request.toTag(), request.fromTag()));
     if (leg == null) {
       transaction.respond(request.response(481));
     } else {
@@ -335,6 +364,15 @@
   }
 
   private void begin(ServerTransaction transaction) {
+    SipRequest invite = transaction.request();
+    Runnable wake =
+        asleep.isEmpty() ? null : asleep.get(repeatKey(invite.callId(), invite.fromTag()));
+    if (wake != null) {
+      // It stands since a life before: its repeat is no second call, and was answered.
+      wake.run();
+      ((InviteServerTransaction) transaction).abandon();
+      return;
+    }
     Router router = new Router();
     CallLeg leg = new CallLeg(this, transaction, newTag(), router);
     router.listener = owner.incoming(leg);
@@ -376,7 +414,7 @@
 
   @Override
   public void ack(SipRequest ack) {
-    CallLeg leg = legs.get(Dialog.key(ack.callId(), ack.toTag(), ack.fromTag()));
+    CallLeg leg = find(Dialog.key(ack.callId(), ack.toTag(), ack.fromTag()));
     if (leg != null) {
       leg.acknowledged(ack);
     }
@@ -396,7 +434,7 @@
     invite.copy("From", response);
     invite.copy("Call-ID", response);
     invite.copy("CSeq", response);
-    CallLeg leg = legs.get(Dialog.key(response.callId(), response.fromTag(), response.toTag()));
+    CallLeg leg = find(Dialog.key(response.callId(), response.fromTag(), response.toTag()));
     boolean standing = leg != null && leg.state() == CallLeg.State.CONFIRMED;
     if (standing) {
       leg.strayOk(response);
--- a/sipfront/src/main/java/coveladder/sipfront/Bridge.java
+++ b/sipfront/src/main/java/coveladder/sipfront/Bridge.java
@@ -382,7 +382,8 @@
     }
   }
 
-  private void sessionOver() {
+  /** Ends the call as its session ran out. */
+  void sessionOver() {
     if (caller.state() != CallLeg.State.ENDED) {
       releaseCaller(true);
       front.controller().callerReleased(id);
--- a/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
+++ b/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
@@ -19,7 +19,9 @@
  * what has changed in the dialog since.
  *
  * @param hop the other side
+ * @param callId Call-ID
  * @param tag own tag
+ * @param remoteTag the other side's tag; empty before there is one
  * @param acknowledged whether the answer's ACK has passed
  * @param progress what has changed in the dialog; null before there is one
  * @param session time that the session lasts without a refresh, s; 0: for ever (RFC 4028)
@@ -28,7 +30,9 @@
  */
 record LegRecord(
     Hop hop,
+    String callId,
     String tag,
+    String remoteTag,
     boolean acknowledged,
     Dialog.Progress progress,
     long session,
@@ -42,7 +46,9 @@
       data.writeUTF(hop.transport().name());
       data.writeUTF(hop.host());
       data.writeInt(hop.port());
+      data.writeUTF(callId);
       data.writeUTF(tag);
+      data.writeUTF(remoteTag);
       data.writeBoolean(acknowledged);
       data.writeBoolean(progress != null);
       if (progress != null) {
@@ -64,7 +70,9 @@
   static LegRecord read(byte[] octets) {
     try (DataInputStream data = new DataInputStream(new ByteArrayInputStream(octets))) {
       Hop hop = new Hop(Transport.named(data.readUTF()), data.readUTF(), data.readInt());
+      String callId = data.readUTF();
       String tag = data.readUTF();
+      String remoteTag = data.readUTF();
       boolean acknowledged = data.readBoolean();
       Dialog.Progress progress =
           data.readBoolean()
@@ -73,14 +81,20 @@
       long session = data.readLong();
       byte[] invite = data.readNBytes(data.readInt());
       byte[] answer = data.readNBytes(data.readInt());
-      return new LegRecord(hop, tag, acknowledged, progress, session, invite, answer);
+      return new LegRecord(
+          hop, callId, tag, remoteTag, acknowledged, progress, session, invite, answer);
     } catch (IOException e) {
       throw new IllegalArgumentException("a kept leg is cut short", e);
     }
   }
 
   LegRecord with(boolean nowAcknowledged, Dialog.Progress now, long lasts) {
-    return new LegRecord(hop, tag, nowAcknowledged, now, lasts, invite, answer);
+    return new LegRecord(hop, callId, tag, remoteTag, nowAcknowledged, now, lasts, invite, answer);
+  }
+
+  /** Key of its dialog. */
+  String dialogKey() {
+    return Dialog.key(callId, tag, remoteTag);
   }
 
   SipRequest request() {
--- a/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
@@ -13,7 +13,9 @@
 import coveladder.sip.Failure;
 import coveladder.sip.NameAddr;
 import coveladder.sip.SipResponse;
+import coveladder.sip.UserAgent;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -24,8 +26,12 @@
 
   private final SipFront front;
   private final LongSupplier wallClock;
+  private final Map<String, Asleep> asleep = new HashMap<>();
   private final Map<String, CallLeg> expected = new HashMap<>();
 
+  /** A call that stood before this life and has not been woken. */
+  private record Asleep(SavedCall saved, boolean owes, int life) {}
+
   SavedLegs(SipFront front, LongSupplier wallClock) {
     this.front = front;
     this.wallClock = wallClock;
@@ -41,34 +47,36 @@
   @Override
   public byte[] callerLeg(String call) {
     Bridge bridge = front.bridge(call);
-    CallLeg leg = bridge.caller();
     byte[] answer = bridge.prepared() == null ? NONE : bridge.prepared().toBytes();
-    return new LegRecord(
-            leg.hop(), leg.localTag(), false, leg.progress(), 0, leg.invite().toBytes(), answer)
-        .write();
+    CallLeg leg = bridge.caller();
+    return record(leg, leg.invite().fromTag(), false, 0, answer).write();
   }
 
   @Override
   public byte[] prepareAttempt(AttemptOrder order) {
-    CallLeg leg = front.prepare(order).attemptLeg();
-    return new LegRecord(leg.hop(), leg.localTag(), false, null, 0, leg.invite().toBytes(), NONE)
-        .write();
+    return record(front.prepare(order).attemptLeg(), "", false, 0, NONE).write();
   }
 
   @Override
   public byte[] attemptLeg(String call) {
     Bridge bridge = front.bridge(call);
-    CallLeg leg = bridge.attemptLeg();
-    byte[] answer = bridge.received().toBytes();
+    SipResponse answer = bridge.received();
+    long session = answer.number("Session-Expires", 0);
+    return record(bridge.attemptLeg(), answer.toTag(), true, session, answer.toBytes()).write();
+  }
+
+  private static LegRecord record(
+      CallLeg leg, String remoteTag, boolean acknowledged, long session, byte[] answer) {
     return new LegRecord(
-            leg.hop(),
-            leg.localTag(),
-            true,
-            leg.progress(),
-            bridge.received().number("Session-Expires", 0),
-            leg.invite().toBytes(),
-            answer)
-        .write();
+        leg.hop(),
+        leg.invite().callId(),
+        leg.localTag(),
+        remoteTag == null ? "" : remoteTag,
+        acknowledged,
+        leg.progress(),
+        session,
+        leg.invite().toBytes(),
+        answer);
   }
 
   @Override
@@ -97,10 +105,51 @@
 
   // ---- After a restart ----------------------------------------------------------------------
 
+  /**
+   * A call that owes nothing sleeps: its legs are made when a message of it comes, or something is
+   * to be done with it.
+   */
   @Override
   public void resume(SavedCall saved, boolean owed, int life) {
     LegRecord from = LegRecord.read(saved.callerLeg());
     LegRecord to = LegRecord.read(saved.attemptLeg());
+    boolean owes = owed && !from.acknowledged();
+    asleep.put(saved.id(), new Asleep(saved, owes, life));
+    keys(from, to).forEach(key -> front.agent().expect(key, () -> wake(saved.id())));
+    if (owes) {
+      wake(saved.id());
+    } else if (to.session() > 0) {
+      front.host().after(1000.0 * to.session(), () -> sessionOver(saved.id()));
+    }
+  }
+
+  private static List<String> keys(LegRecord from, LegRecord to) {
+    String repeat = UserAgent.repeatKey(from.callId(), from.remoteTag());
+    return List.of(from.dialogKey(), to.dialogKey(), repeat);
+  }
+
+  /** Its session was not refreshed by any message: the call slept all the time. */
+  private void sessionOver(String call) {
+    if (asleep.containsKey(call)) {
+      wake(call).sessionOver();
+    }
+  }
+
+  /** Calls that sleep. */
+  int asleep() {
+    return asleep.size();
+  }
+
+  /** Makes the legs of a call that sleeps; null where none of that id does. */
+  Bridge wake(String call) {
+    Asleep was = asleep.remove(call);
+    if (was == null) {
+      return null;
+    }
+    SavedCall saved = was.saved();
+    LegRecord from = LegRecord.read(saved.callerLeg());
+    LegRecord to = LegRecord.read(saved.attemptLeg());
+    keys(from, to).forEach(front.agent()::expectNot);
     Bridge bridge = new Bridge(front, saved.id(), saved.call().transit(), null);
     front.hold(saved.id(), bridge);
     CallLeg caller =
@@ -110,8 +159,8 @@
                 from.request(),
                 from.hop(),
                 from.response(),
-                from.acknowledged() || !owed,
-                (from.progress() == null ? begun(from) : from.progress()).inLife(life),
+                !was.owes(),
+                (from.progress() == null ? begun(from) : from.progress()).inLife(was.life()),
                 bridge.callerSide());
     CallLeg attempt =
         front
@@ -120,9 +169,10 @@
                 to.request(),
                 to.hop(),
                 to.response(),
-                to.progress().inLife(life),
+                to.progress().inLife(was.life()),
                 bridge.attemptSide(saved.attempt()));
     bridge.resume(caller, attempt, saved.attempt(), to.session());
+    return bridge;
   }
 
   /** A dialog that was written before its answer left has only what its INVITE says. */
@@ -218,7 +268,8 @@
 
   @Override
   public void answerAgain(SavedCall saved) {
-    LegRecord answer = new LegRecord(front.ownSwitch(), "", false, null, 0, NONE, saved.answer());
+    LegRecord answer =
+        new LegRecord(front.ownSwitch(), "", "", "", false, null, 0, NONE, saved.answer());
     CallLeg leg = expected.remove(saved.id());
     if (leg != null) {
       leg.reject(answer.response());
--- a/sipfront/src/main/java/coveladder/sipfront/SipFront.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SipFront.java
@@ -60,6 +60,7 @@
   private final Subscriber circuits;
   private String circuitEpoch = "";
   private final String base;
+  private SavedLegs legs;
   private WriteAhead writeAhead;
   private Recovery recovery;
   private long sequence;
@@ -103,7 +104,7 @@
     if (keeping == null) {
       this.controller = new CallController(rules, this, guard, journal, policies);
     } else {
-      SavedLegs legs = new SavedLegs(this, keeping.clock());
+      this.legs = new SavedLegs(this, keeping.clock());
       double life = settings.timing().life();
       this.writeAhead = new WriteAhead(this, legs, keeping.store(), life);
       RecoveryPace pace = new RecoveryPace(keeping.budget(), rules.coldFrom(), rules.ramp());
@@ -138,8 +139,10 @@
     return recovery;
   }
 
+  /** A call, woken if it sleeps since the start; null if there is none. */
   Bridge bridge(String call) {
-    return bridges.get(call);
+    Bridge bridge = bridges.get(call);
+    return bridge != null || legs == null ? bridge : legs.wake(call);
   }
 
   void hold(String call, Bridge bridge) {
@@ -212,7 +215,7 @@
 
   /** Calls with any leg left. */
   public int bridges() {
-    return bridges.size();
+    return bridges.size() + (legs == null ? 0 : legs.asleep());
   }
 
   /**
@@ -270,7 +273,7 @@
   public CallListener incoming(CallLeg leg) {
     SipUri uri = SipUri.parse(leg.invite().uri());
     int destination = controller.list().numberOf(uri.host());
-    boolean full = bridges.size() >= settings.maxCalls();
+    boolean full = bridges() >= settings.maxCalls();
     if (full || controller.list().version() < 0 || mayBeOld(leg)) {
       int wait = settings.retryAfter();
       leg.reject(FinalResponses.unavailable(leg, ReasonField.CONGESTION, false, wait));
@@ -357,7 +360,7 @@
 
   @Override
   public void startAttempt(AttemptOrder order) {
-    Bridge bridge = bridges.get(order.call());
+    Bridge bridge = bridge(order.call());
     if (!bridge.ready(order.attempt())) {
       prepare(order);
     }
@@ -366,7 +369,7 @@
 
   /** Makes an attempt ready without sending it. */
   Bridge prepare(AttemptOrder order) {
-    Bridge bridge = bridges.get(order.call());
+    Bridge bridge = bridge(order.call());
     bridge.prepare(order, attemptInvite(order, bridge.caller().invite()));
     return bridge;
   }
@@ -406,12 +409,12 @@
 
   @Override
   public void cancelAttempt(String call, int attempt) {
-    bridges.get(call).cancel(attempt);
+    bridge(call).cancel(attempt);
   }
 
   @Override
   public void releaseAttempt(String call, int attempt) {
-    Bridge bridge = bridges.get(call);
+    Bridge bridge = bridge(call);
     if (bridge != null) {
       bridge.release(attempt);
     }
@@ -419,13 +422,13 @@
 
   @Override
   public void answer(String call, FinalAnswer answer) {
-    bridges.get(call).answer(answer);
+    bridge(call).answer(answer);
     tidy(call);
   }
 
   @Override
   public void releaseCaller(String call, boolean cut) {
-    bridges.get(call).releaseCaller(cut);
+    bridge(call).releaseCaller(cut);
   }
 
   @Override
--- a/standin/src/main/java/coveladder/standin/CallPlan.java
+++ b/standin/src/main/java/coveladder/standin/CallPlan.java
@@ -26,4 +26,11 @@
     Transport transport,
     double patience,
     double hold,
-    int redials) {}
+    int redials) {
+
+  /** The same call, so many ms later. */
+  public CallPlan later(double by) {
+    return new CallPlan(
+        at + by, session, from, to, number, priority, transport, patience, hold, redials);
+  }
+}
--- a/standin/src/main/java/coveladder/standin/StandinCallers.java
+++ b/standin/src/main/java/coveladder/standin/StandinCallers.java
@@ -51,9 +51,11 @@
    * @param tries how often it was dialled
    * @param stoodAfter time from the first try until it stood, ms; negative if it never did
    * @param cut whether it was cut while it stood
+   * @param ended whether the other side ended it last, cut or not
    * @param last status of the last final answer; 0 where none came in time
    */
-  public record Fate(CallPlan plan, int tries, double stoodAfter, boolean cut, int last) {}
+  public record Fate(
+      CallPlan plan, int tries, double stoodAfter, boolean cut, boolean ended, int last) {}
 
   /** Makes callers that reach the controllers under their numbers. */
   public StandinCallers(
@@ -114,6 +116,7 @@
     private int redials;
     private boolean returned;
     private boolean wasCut;
+    private boolean endedByOther;
     private double stoodAfter = -1;
     private int last;
     private CallLeg leg;
@@ -130,6 +133,7 @@
 
     void dial() {
       tries++;
+      endedByOther = false;
       Hop to = controllers.get(plan.from()).by(plan.transport());
       SipRequest invite = new SipRequest("INVITE", "sip:" + plan.number() + '@' + plan.to());
       invite.add("From", "<sip:member@" + host.local(plan.transport()).host() + '>');
@@ -218,6 +222,7 @@
         return;
       }
       leg = null;
+      endedByOther = true;
       String reason = bye == null ? "" : bye.header("Reason", "");
       if (reason.contains("cause=41") && !wasCut) {
         wasCut = true;
@@ -234,7 +239,7 @@
       leg = null;
       open--;
       callers.remove(this);
-      fates.accept(new Fate(plan, tries, stoodAfter, wasCut, last));
+      fates.accept(new Fate(plan, tries, stoodAfter, wasCut, endedByOther, last));
     }
   }
 }
--- a/store/src/main/java/coveladder/store/CallFile.java
+++ b/store/src/main/java/coveladder/store/CallFile.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
@@ -104,17 +105,34 @@
     other.commit();
   }
 
-  /** Reads all records; one that cannot be used is told with its reason and left out. */
+  /**
+   * Reads all records, on all processors; one that cannot be used is told with its reason and left
+   * out.
+   */
   List<SavedCall> readAll(BiConsumer<String, String> bad) {
-    List<SavedCall> read = new ArrayList<>();
-    for (String id : calls.keyList()) {
+    List<Map.Entry<String, byte[]>> all = new ArrayList<>();
+    calls.forEach((id, record) -> all.add(Map.entry(id, record)));
+    List<Read> read = all.parallelStream().map(e -> Read.of(e.getKey(), e.getValue())).toList();
+    List<SavedCall> sound = new ArrayList<>(all.size());
+    for (Read one : read) {
+      if (one.saved() != null) {
+        sound.add(one.saved());
+      } else {
+        bad.accept(one.id(), one.reason());
+      }
+    }
+    return sound;
+  }
+
+  /** A record that was read, or why it could not be. */
+  private record Read(String id, SavedCall saved, String reason) {
+    static Read of(String id, byte[] record) {
       try {
-        read.add(RecordCodec.read(calls.get(id)));
+        return new Read(id, RecordCodec.read(record), "");
       } catch (RecordCodec.BadRecord e) {
-        bad.accept(id, e.getMessage());
+        return new Read(id, null, e.getMessage());
       }
     }
-    return read;
   }
 
   /** Reads all records and takes the unusable ones out, written down with their reasons. */
