A start reads the heads of kept legs only, and copies records once less

Change: LegRecord.readHead leaves the messages unread until a call wakes; RecordCodec parses in place.

--- a/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
+++ b/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
@@ -39,6 +39,7 @@
     byte[] invite,
     byte[] answer) {
   private static final int HEADERS = 1_000;
+  private static final byte[] NONE = {};
 
   byte[] write() {
     ByteArrayOutputStream out = new ByteArrayOutputStream(invite.length + answer.length + 128);
@@ -68,6 +69,15 @@
   }
 
   static LegRecord read(byte[] octets) {
+    return read(octets, true);
+  }
+
+  /** Reads all but the messages, which are the most of it. */
+  static LegRecord readHead(byte[] octets) {
+    return read(octets, false);
+  }
+
+  private static LegRecord read(byte[] octets, boolean whole) {
     try (DataInputStream data = new DataInputStream(new ByteArrayInputStream(octets))) {
       Hop hop = new Hop(Transport.named(data.readUTF()), data.readUTF(), data.readInt());
       String callId = data.readUTF();
@@ -79,8 +89,8 @@
               ? new Dialog.Progress(data.readLong(), data.readLong(), data.readUTF())
               : null;
       long session = data.readLong();
-      byte[] invite = data.readNBytes(data.readInt());
-      byte[] answer = data.readNBytes(data.readInt());
+      byte[] invite = whole ? data.readNBytes(data.readInt()) : NONE;
+      byte[] answer = whole ? data.readNBytes(data.readInt()) : NONE;
       return new LegRecord(
           hop, callId, tag, remoteTag, acknowledged, progress, session, invite, answer);
     } catch (IOException e) {
--- a/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
+++ b/sipfront/src/main/java/coveladder/sipfront/SavedLegs.java
@@ -111,8 +111,8 @@
    */
   @Override
   public void resume(SavedCall saved, boolean owed, int life) {
-    LegRecord from = LegRecord.read(saved.callerLeg());
-    LegRecord to = LegRecord.read(saved.attemptLeg());
+    LegRecord from = LegRecord.readHead(saved.callerLeg());
+    LegRecord to = LegRecord.readHead(saved.attemptLeg());
     boolean owes = owed && !from.acknowledged();
     asleep.put(saved.id(), new Asleep(saved, owes, life));
     keys(from, to).forEach(key -> front.agent().expect(key, () -> wake(saved.id())));
--- a/store/src/main/java/coveladder/store/RecordCodec.java
+++ b/store/src/main/java/coveladder/store/RecordCodec.java
@@ -62,9 +62,9 @@
     if (octets.length < CHECK || ByteBuffer.wrap(octets).getInt() != check(octets, CHECK)) {
       throw new BadRecord("its check does not fit: " + octets.length + " octets");
     }
-    ByteString body = ByteString.copyFrom(octets, CHECK, octets.length - CHECK);
     try {
-      return read(SavedCallRecord.parseFrom(body));
+      int length = octets.length - CHECK;
+      return read(SavedCallRecord.parser().parseFrom(octets, CHECK, length));
     } catch (InvalidProtocolBufferException e) {
       throw new BadRecord("it is no record: " + e.getMessage());
     }
