--- a/store/src/main/java/coveladder/store/DiskStore.java
+++ b/store/src/main/java/coveladder/store/DiskStore.java
@@ -59,7 +59,7 @@
    * @param fresh which try to begin anew all was put again for; 0: none, -1: none, but all that was
    *     found behind has been set right
    */
-  private record Work(String id, byte[] record, Consumer<Boolean> waits, int fresh) {}
+  private record Work(String id, SavedCall call, Consumer<Boolean> waits, int fresh) {}
 
   /** A folder that cannot be used; the message says why and what to do. */
   public static final class Unusable extends Exception {
@@ -146,7 +146,7 @@
 
   @Override
   public void put(SavedCall call) {
-    enqueue(new Work(call.id(), RecordCodec.write(call), null, 0));
+    enqueue(new Work(call.id(), call, null, 0));
   }
 
   @Override
@@ -212,8 +212,8 @@
     try {
       for (Work work : batch) {
         wanted |= work.waits() != null || work.fresh() != 0;
-        if (work.record() != null) {
-          file.put(work.id(), work.record());
+        if (work.call() != null) {
+          file.put(work.id(), RecordCodec.write(work.call()));
         } else if (work.id() != null) {
           file.remove(work.id());
         }
