Read again: one wait for the disk, one kept front in the bench, four unused pieces gone

Need: WriteAhead counted acts that went on unkept in three places; RestartBench and StandingCall each built the same controller and node; CallFile.size and record, Recovery.behind, SipRequest.withUri and a constant of a test bed were called by nobody. Change: WriteAhead.whenSafe, WholePath.Run.front and node serve all; the unused is removed. Behaviour and assertions as they were.

--- a/bench/src/main/java/coveladder/bench/RestartBench.java
+++ b/bench/src/main/java/coveladder/bench/RestartBench.java
@@ -1,13 +1,9 @@
 package coveladder.bench;
 
 import coveladder.CallPolicy.Call;
-import coveladder.NestedThresholdPolicy;
-import coveladder.core.AttemptGuard;
-import coveladder.core.CallController;
 import coveladder.core.recovery.RecoveryPace;
 import coveladder.core.recovery.SavedCall;
 import coveladder.net.EventLoop;
-import coveladder.net.SocketLimits;
 import coveladder.net.SocketNode;
 import coveladder.net.Sockets;
 import coveladder.sip.Hop;
@@ -135,18 +131,10 @@
         EventLoop loop = new EventLoop("controller", begun, 1_000_000)) {
       DiskStore store = new DiskStore(folder, loop::execute);
       double read = (System.nanoTime() - begun) / 1e6;
-      SocketNode node = new SocketNode(sockets, loop, SocketLimits.USUAL, "127.0.0.1", 0, 1);
+      SocketNode node = WholePath.Run.node(sockets, loop);
       Hop nowhere = new Hop(Transport.UDP, "127.0.0.1", 9);
       SipFront front =
-          new SipFront(
-              node,
-              WholePath.Run.settings(nowhere),
-              WholePath.Run.rules(),
-              new AttemptGuard(300, 250),
-              CallController.Journal.NONE,
-              actions -> new NestedThresholdPolicy(WholePath.Run.rules(), 1, actions),
-              new SipFront.Keeping(
-                  store, new RecoveryPace.Budget(1, 3_600_000), System::currentTimeMillis));
+          WholePath.Run.front(node, nowhere, store, new RecoveryPace.Budget(1, 3_600_000));
       loop.start();
       node.start(front);
       CompletableFuture<Double> taken = new CompletableFuture<>();
--- a/bench/src/main/java/coveladder/bench/StandingCall.java
+++ b/bench/src/main/java/coveladder/bench/StandingCall.java
@@ -1,13 +1,9 @@
 package coveladder.bench;
 
-import coveladder.NestedThresholdPolicy;
-import coveladder.core.AttemptGuard;
-import coveladder.core.CallController;
 import coveladder.core.recovery.CallStore;
 import coveladder.core.recovery.RecoveryPace;
 import coveladder.core.recovery.SavedCall;
 import coveladder.net.EventLoop;
-import coveladder.net.SocketLimits;
 import coveladder.net.SocketNode;
 import coveladder.net.Sockets;
 import coveladder.sip.CallLeg;
@@ -45,20 +41,12 @@
     try (Sockets sockets = new Sockets(1);
         EventLoop loop = new EventLoop("controller", origin, QUEUE)) {
       StandingCall kept = new StandingCall(loop);
-      SocketNode switchNode = node(sockets, loop);
-      SocketNode controllerNode = node(sockets, loop);
-      SocketNode callerNode = node(sockets, loop);
+      SocketNode switchNode = WholePath.Run.node(sockets, loop);
+      SocketNode controllerNode = WholePath.Run.node(sockets, loop);
+      SocketNode callerNode = WholePath.Run.node(sockets, loop);
       Hop own = new Hop(Transport.UDP, "127.0.0.1", switchNode.port());
       SipFront front =
-          new SipFront(
-              controllerNode,
-              WholePath.Run.settings(own),
-              WholePath.Run.rules(),
-              new AttemptGuard(300, 250),
-              CallController.Journal.NONE,
-              actions -> new NestedThresholdPolicy(WholePath.Run.rules(), 1, actions),
-              new SipFront.Keeping(
-                  kept, new RecoveryPace.Budget(1, 1_000), System::currentTimeMillis));
+          WholePath.Run.front(controllerNode, own, kept, new RecoveryPace.Budget(1, 1_000));
       switchNode.start(new EchoSwitch(switchNode, switchNode.port()));
       controllerNode.start(front);
       callerNode.start(new Dialer(callerNode, controllerNode.local(Transport.UDP)));
@@ -67,10 +55,6 @@
     }
   }
 
-  private static SocketNode node(Sockets sockets, EventLoop loop) throws Exception {
-    return new SocketNode(sockets, loop, SocketLimits.USUAL, "127.0.0.1", 0, 1);
-  }
-
   /** Puts the token into all names of both legs, in place of as many of their octets. */
   private static SavedCall withToken(SavedCall saved, String token) {
     return new SavedCall(
--- a/bench/src/main/java/coveladder/bench/WholePath.java
+++ b/bench/src/main/java/coveladder/bench/WholePath.java
@@ -6,6 +6,7 @@
 import coveladder.NestedThresholdPolicy;
 import coveladder.core.AttemptGuard;
 import coveladder.core.CallController;
+import coveladder.core.recovery.CallStore;
 import coveladder.core.recovery.RecoveryPace;
 import coveladder.net.EventLoop;
 import coveladder.net.SocketLimits;
@@ -95,7 +96,19 @@
       callerNode.start(caller);
     }
 
-    private static SocketNode node(Sockets sockets, EventLoop loop) throws Exception {
+    /** A controller that keeps its calls, among neighbours at one place. */
+    static SipFront front(SocketNode node, Hop own, CallStore store, RecoveryPace.Budget budget) {
+      return new SipFront(
+          node,
+          settings(own),
+          rules(),
+          new AttemptGuard(300, 250),
+          CallController.Journal.NONE,
+          actions -> new NestedThresholdPolicy(rules(), 1, actions),
+          new SipFront.Keeping(store, budget, System::currentTimeMillis));
+    }
+
+    static SocketNode node(Sockets sockets, EventLoop loop) throws Exception {
       return new SocketNode(sockets, loop, SocketLimits.USUAL, "127.0.0.1", 0, 1);
     }
 
--- a/core/src/main/java/coveladder/core/recovery/Recovery.java
+++ b/core/src/main/java/coveladder/core/recovery/Recovery.java
@@ -273,11 +273,6 @@
     return damaged;
   }
 
-  /** Whether calls had gone on unkept before the restart. */
-  public boolean behind() {
-    return behind;
-  }
-
   /** Callers of set-ups cut short that were answered. */
   public int answered() {
     return answered;
--- a/core/src/main/java/coveladder/core/recovery/WriteAhead.java
+++ b/core/src/main/java/coveladder/core/recovery/WriteAhead.java
@@ -104,11 +104,19 @@
     entry.waiting = order.attempt();
     entry.calledOff = false;
     store.put(saved);
-    store.sync(safe -> safeToStart(order, entry, safe));
+    whenSafe(() -> safeToStart(order, entry));
   }
 
-  private void safeToStart(AttemptOrder order, Kept entry, boolean safe) {
-    unkept += safe ? 0 : 1;
+  /** Acts once all that was put is safe, or cannot be made so, which is counted. */
+  private void whenSafe(Runnable act) {
+    store.sync(
+        safe -> {
+          unkept += safe ? 0 : 1;
+          act.run();
+        });
+  }
+
+  private void safeToStart(AttemptOrder order, Kept entry) {
     entry.waiting = -1;
     if (entry.calledOff) {
       controller.attemptOver(order.call(), order.attempt(), Outcome.CANCELLED, Reason.NONE, 0);
@@ -152,11 +160,10 @@
             stands ? new byte[0] : legs.finalAnswer(call, answer),
             before.deadline());
     store.put(entry.saved);
-    store.sync(safe -> safeToAnswer(call, answer, safe));
+    whenSafe(() -> safeToAnswer(call, answer));
   }
 
-  private void safeToAnswer(String call, FinalAnswer answer, boolean safe) {
-    unkept += safe ? 0 : 1;
+  private void safeToAnswer(String call, FinalAnswer answer) {
     front.answer(call, answer);
     if (answer.kind() != FinalAnswer.Kind.STANDS) {
       clock.after(answeredKept, () -> forget(call));
@@ -174,20 +181,12 @@
     if (entry == null) {
       answer.run();
     } else if (entry.saved.phase() == Phase.SETTING_UP) {
-      keepCalledOff(entry, answer);
+      entry.saved = entry.saved.calledOff();
+      store.put(entry.saved);
+      whenSafe(answer);
     }
   }
 
-  private void keepCalledOff(Kept entry, Runnable answer) {
-    entry.saved = entry.saved.calledOff();
-    store.put(entry.saved);
-    store.sync(
-        safe -> {
-          unkept += safe ? 0 : 1;
-          answer.run();
-        });
-  }
-
   /** Something of a call that stands has changed, such as an address; the store learns it late. */
   public void changed(String call) {
     Kept entry = kept.get(call);
--- a/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
+++ b/rehearsal/src/test/java/coveladder/rehearsal/ControllerBed.java
@@ -19,7 +19,6 @@
 /** One real controller between a caller and a switch that a test plays by hand. */
 final class ControllerBed {
   static final double SYNC = 1;
-  static final String TCP = "TCP";
 
   final SimWorld world = new SimWorld(5);
   final RawNode caller = world.add("caller", "x", RawNode::new);
--- a/sip/src/main/java/coveladder/sip/SipRequest.java
+++ b/sip/src/main/java/coveladder/sip/SipRequest.java
@@ -26,16 +26,6 @@
     return uri;
   }
 
-  /** A copy for another Request-URI, fields and body alike. */
-  public SipRequest withUri(String other) {
-    SipRequest copy = new SipRequest(method, other);
-    for (int i = 0; i < size(); i++) {
-      copy.add(name(i), value(i));
-    }
-    copy.body(body());
-    return copy;
-  }
-
   /** Makes a response with the fields that every response repeats (RFC 3261 section 8.2.6). */
   public SipResponse response(int status) {
     return response(status, SipResponse.phrase(status));
--- a/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
+++ b/sipfront/src/main/java/coveladder/sipfront/LegRecord.java
@@ -2,6 +2,7 @@
 
 import coveladder.sip.Dialog;
 import coveladder.sip.Hop;
+import coveladder.sip.SipMessage;
 import coveladder.sip.SipParseException;
 import coveladder.sip.SipParser;
 import coveladder.sip.SipRequest;
@@ -115,7 +116,7 @@
     return (SipResponse) parse(answer);
   }
 
-  private static coveladder.sip.SipMessage parse(byte[] octets) {
+  private static SipMessage parse(byte[] octets) {
     try {
       return new SipParser(HEADERS).parse(octets);
     } catch (SipParseException e) {
--- a/store/src/main/java/coveladder/store/CallFile.java
+++ b/store/src/main/java/coveladder/store/CallFile.java
@@ -76,14 +76,6 @@
     calls.remove(id);
   }
 
-  int size() {
-    return calls.size();
-  }
-
-  byte[] record(String id) {
-    return calls.get(id);
-  }
-
   /** Makes all changes so far safe; whether there were any. */
   boolean commit() {
     boolean changed = store.hasUnsavedChanges();
