--- a/app/src/main/java/coveladder/app/Main.java
+++ b/app/src/main/java/coveladder/app/Main.java
@@ -1,5 +1,6 @@
 package coveladder.app;
 
+import coveladder.serve.Serve;
 import coveladder.store.DiskStore;
 import java.io.IOException;
 import picocli.CommandLine;
@@ -27,6 +28,9 @@
 
   /** Runs the program and exits with its status: 0 well, 1 failed, 2 wrongly asked. */
   public static void main(String[] arguments) {
+    if (arguments.length == 1 && arguments[0].equals("serve")) {
+      System.exit(Serve.run(System.getenv("RELAY_CONFIG")));
+    }
     System.exit(commandLine().execute(arguments));
   }
 
--- a/app/src/main/java/coveladder/app/RunCommand.java
+++ b/app/src/main/java/coveladder/app/RunCommand.java
@@ -1,5 +1,6 @@
 package coveladder.app;
 
+import coveladder.serve.Signals;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
--- a/app/src/test/java/coveladder/shape/BoundariesTest.java
+++ b/app/src/test/java/coveladder/shape/BoundariesTest.java
@@ -21,7 +21,10 @@
     "coveladder.core..",
     "coveladder.sip",
     "coveladder.sipfront..",
-    "coveladder.standin.."
+    "coveladder.standin..",
+    "coveladder.wire..",
+    "coveladder.isup..",
+    "coveladder.isupfront.."
   };
 
   private static ArchRule noUseOf(String... packages) {
@@ -68,7 +71,48 @@
         .resideInAPackage("coveladder.core..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("coveladder.sip..", "coveladder.sipfront..")
+        .resideInAnyPackage(
+            "coveladder.sip..",
+            "coveladder.sipfront..",
+            "coveladder.isup..",
+            "coveladder.isupfront..",
+            "coveladder.wire..")
+        .check(ALL);
+  }
+
+  @Test
+  void thePlatformsFrontKnowsNothingOfSip() {
+    noClasses()
+        .that()
+        .resideInAnyPackage("coveladder.isup..", "coveladder.isupfront..", "coveladder.serve..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "coveladder.sip..", "coveladder.sipfront..", "coveladder.app..", "coveladder.store..")
+        .check(ALL);
+  }
+
+  @Test
+  void theCodecsKnowNothingOfTheCore() {
+    noClasses()
+        .that()
+        .resideInAPackage("coveladder.isup..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("coveladder", "coveladder.core..", "coveladder.wire..")
+        .check(ALL);
+  }
+
+  @Test
+  void whatBothFrontsUseOfTheNetworkKnowsNothingOfSip() {
+    noClasses()
+        .that()
+        .resideInAPackage("coveladder.net..")
+        .and()
+        .haveNameNotMatching(".*SocketNode.*")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("coveladder.sip..")
         .check(ALL);
   }
 
--- a/core/src/main/java/coveladder/core/CallController.java
+++ b/core/src/main/java/coveladder/core/CallController.java
@@ -196,7 +196,7 @@
     HeldCall held = calls.get(id);
     if (held != null && held.standing() && held.current() != null) {
       signalling.releaseAttempt(id, held.current().number);
-      over(held, Outcome.DONE, Reason.NONE, 0);
+      over(held, Outcome.DONE, Reason.NONE, 0, null);
     }
   }
 
@@ -260,7 +260,7 @@
       journal.answered(held, passed, clock.now() - held.taken());
       signalling.answer(id, passed);
     }
-    over(held, Outcome.ERROR, Reason.NONE, 0);
+    over(held, Outcome.ERROR, Reason.NONE, 0, null);
   }
 
   /**
@@ -268,6 +268,16 @@
    * cancel is in. Repeats are ignored.
    */
   public void attemptOver(String id, int attempt, Outcome outcome, Reason reason, double wait) {
+    attemptOver(id, attempt, outcome, reason, wait, null);
+  }
+
+  /**
+   * An attempt is over, and figures came with its end.
+   *
+   * @param told the figures, as they came; null: those last held of the exchange
+   */
+  public void attemptOver(
+      String id, int attempt, Outcome outcome, Reason reason, double wait, Load told) {
     HeldCall held = calls.get(id);
     if (held == null || held.current() == null || held.current().number != attempt) {
       return;
@@ -275,10 +285,10 @@
     if (held.standing()) {
       signalling.releaseCaller(id, outcome != Outcome.DONE);
     }
-    over(held, outcome, reason, wait);
+    over(held, outcome, reason, wait, told);
   }
 
-  private void over(HeldCall held, Outcome wire, Reason reason, double wait) {
+  private void over(HeldCall held, Outcome wire, Reason reason, double wait, Load told) {
     HeldCall.Attempt out = held.current();
     Outcome outcome = outcome(out, wire);
     boolean own = outcome != wire;
@@ -296,7 +306,7 @@
             own ? 0 : wait,
             spent,
             held.answered(),
-            load(out.first));
+            told == null ? load(out.first) : told);
     letGo(held);
     tell(p -> p.onEnded(clock.now(), ended));
   }
@@ -364,6 +374,13 @@
     }
   }
 
+  /** An exchange told figures unasked, those of the group toward it among them. */
+  public void figures(String exchange, Load told) {
+    if (list.byId(exchange) != null) {
+      tell(p -> p.onReport(clock.now(), new Report(exchange, true, 0, told)));
+    }
+  }
+
   /** Load figures came with an answer of an exchange. */
   public void loadReport(String exchange, LoadReports.Report report) {
     reports.take(exchange, report);
@@ -410,7 +427,7 @@
       if (held.standing() && held.current() != null) {
         signalling.releaseAttempt(held.call().id(), held.current().number);
         signalling.releaseCaller(held.call().id(), true);
-        over(held, Outcome.CANCELLED, Reason.NONE, 0);
+        over(held, Outcome.CANCELLED, Reason.NONE, 0, null);
       }
     }
   }
--- a/core/src/main/java/coveladder/core/ExchangeList.java
+++ b/core/src/main/java/coveladder/core/ExchangeList.java
@@ -6,13 +6,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The exchange list as this controller was told it. Changes come with the version that they follow;
  * one that follows another version than the held one shows a gap, and the whole list is needed.
  */
 public final class ExchangeList {
+  private static final int MOST_GONE = 256;
+
   private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Set<Integer> numbers = new TreeSet<>();
   private final Map<String, Double> closedAt = new LinkedHashMap<>();
   private long version = -1;
 
@@ -81,6 +86,7 @@
   }
 
   private void put(Entry entry, double now) {
+    numbers.add(entry.number());
     if (entry.state() == State.IN_SERVICE) {
       closedAt.remove(entry.id());
     } else {
@@ -91,6 +97,17 @@
     } else {
       entries.put(entry.id(), entry);
     }
+    forgetOldest();
+  }
+
+  /** Exchanges that are gone for good must not be held for good, where ids are ever new. */
+  private void forgetOldest() {
+    if (closedAt.size() > entries.size() + MOST_GONE) {
+      closedAt.keySet().stream()
+          .filter(id -> !entries.containsKey(id))
+          .findFirst()
+          .ifPresent(closedAt::remove);
+    }
   }
 
   /** The exchange of that id; null where the list has none. */
@@ -119,6 +136,11 @@
     return found;
   }
 
+  /** Whether an exchange of that number was ever on the list. */
+  public boolean knows(int number) {
+    return numbers.contains(number);
+  }
+
   /** Number of the exchange for a domain, in service or not; -1 where the list knows none. */
   public int numberOf(String domain) {
     for (Entry entry : entries.values()) {
--- /dev/null
+++ b/isup/src/main/java/coveladder/isup/SwitchCodec.java
@@ -0,0 +1,131 @@
+package coveladder.isup;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Lines of switch messages. */
+public final class SwitchCodec {
+  private static final int NO_CODE = -1;
+
+  private SwitchCodec() {}
+
+  /**
+   * Reads a line.
+   *
+   * @throws MalformedException where it is no message
+   */
+  public static SwitchMessage decode(byte[] line) throws MalformedException {
+    try (JsonParser parser = Json.FACTORY.createParser(line)) {
+      Json.expect(parser.nextToken() == JsonToken.START_OBJECT, "no object");
+      SwitchMessage message = read(parser);
+      Json.expect(parser.nextToken() == null, "more than one object in a line");
+      return message;
+    } catch (IOException e) {
+      throw Json.malformed(e);
+    }
+  }
+
+  private static SwitchMessage read(JsonParser parser) throws IOException, MalformedException {
+    SwitchMessage.Kind kind = null;
+    String sid = "";
+    Map<String, String> attrs = Map.of();
+    int code = NO_CODE;
+    String text = null;
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String name = parser.currentName();
+      JsonToken token = parser.nextToken();
+      switch (name) {
+        case "msg" -> kind = kind(parser.getText());
+        case "sid" -> sid = parser.getText();
+        case "attrs" -> attrs = attrs(parser);
+        case "code" -> {
+          Json.expect(token == JsonToken.VALUE_NUMBER_INT, "code is no whole number");
+          code = parser.getIntValue();
+        }
+        case "text" -> {
+          Json.expect(token == JsonToken.VALUE_STRING, "text is no string");
+          text = parser.getText();
+          Json.expect(whole(text), "text has half a character");
+        }
+        default -> parser.skipChildren();
+      }
+    }
+    Json.expect(kind != null, "no msg");
+    return new SwitchMessage(kind, sid, attrs, code, text);
+  }
+
+  private static SwitchMessage.Kind kind(String word) throws MalformedException {
+    return switch (word) {
+      case "open" -> SwitchMessage.Kind.OPEN;
+      case "trying" -> SwitchMessage.Kind.TRYING;
+      case "ready" -> SwitchMessage.Kind.READY;
+      case "close" -> SwitchMessage.Kind.CLOSE;
+      case "closed" -> SwitchMessage.Kind.CLOSED;
+      case "probe" -> SwitchMessage.Kind.PROBE;
+      case "probed" -> SwitchMessage.Kind.PROBED;
+      case "status" -> SwitchMessage.Kind.STATUS;
+      default -> throw new MalformedException("unknown msg");
+    };
+  }
+
+  private static Map<String, String> attrs(JsonParser parser)
+      throws IOException, MalformedException {
+    Json.expect(parser.currentToken() == JsonToken.START_OBJECT, "attrs is no object");
+    Map<String, String> attrs = new HashMap<>();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String name = parser.currentName();
+      JsonToken token = parser.nextToken();
+      Json.expect(token.isScalarValue(), "attrs holds more than strings and numbers");
+      attrs.put(name, parser.getText());
+    }
+    return attrs;
+  }
+
+  /** Whether no character of more than 16 bits is cut in two, so that UTF-8 can write it. */
+  private static boolean whole(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (Character.isHighSurrogate(c)) {
+        i++;
+        if (i == text.length() || !Character.isLowSurrogate(text.charAt(i))) {
+          return false;
+        }
+      } else if (Character.isLowSurrogate(c)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Writes a message as a line, with its line feed. */
+  public static byte[] encode(SwitchMessage message) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+    try (JsonGenerator generator = Json.FACTORY.createGenerator(out)) {
+      generator.writeStartObject();
+      generator.writeStringField("msg", message.kind().name().toLowerCase(java.util.Locale.ROOT));
+      generator.writeStringField("sid", message.sid());
+      generator.writeObjectFieldStart("attrs");
+      for (Map.Entry<String, String> field : message.attrs().entrySet()) {
+        generator.writeStringField(field.getKey(), field.getValue());
+      }
+      generator.writeEndObject();
+      if (message.code() != NO_CODE) {
+        generator.writeNumberField("code", message.code());
+      }
+      if (message.text() != null) {
+        generator.writeStringField("text", message.text());
+      }
+      generator.writeEndObject();
+      generator.writeRaw('\n');
+    } catch (IOException e) {
+      throw new UncheckedIOException("no message can be written to memory", e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
@@ -0,0 +1,119 @@
+package coveladder.isupfront;
+
+import coveladder.isup.CallerCodec;
+import coveladder.isup.CallerFramer;
+import coveladder.isup.CallerMessage;
+import coveladder.isup.MalformedException;
+import coveladder.isupfront.Wires.Loss;
+import coveladder.isupfront.Wires.Wire;
+import coveladder.isupfront.Wires.WireUser;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** One connection of callers. */
+final class CallerLink implements WireUser {
+  private final CallerCalls calls;
+  private final Wire wire;
+  private final CallerFramer framer;
+  private final Set<String> open = new LinkedHashSet<>();
+  private final Map<String, ReleaseKeeper.Sent> released = new LinkedHashMap<>();
+  private double lastWhole;
+  private boolean proper;
+  private boolean closed;
+  private int unusable;
+
+  CallerLink(CallerCalls calls, Wire wire, int most, double now) {
+    this.calls = calls;
+    this.wire = wire;
+    this.framer = new CallerFramer(most);
+    this.lastWhole = now;
+  }
+
+  /** Calls without their final answer that came on it. */
+  Set<String> open() {
+    return open;
+  }
+
+  /** Releases written on it lately. */
+  Map<String, ReleaseKeeper.Sent> released() {
+    return released;
+  }
+
+  boolean closed() {
+    return closed;
+  }
+
+  /** Whether a message came on it that only a real caller sends. */
+  boolean proper() {
+    return proper;
+  }
+
+  void nowProper() {
+    proper = true;
+  }
+
+  /** Counts a message that cannot be used; how many there were. */
+  int countUnusable() {
+    return ++unusable;
+  }
+
+  /** Since when it has been silent, or within one message. */
+  double silentFor(double now) {
+    return now - lastWhole;
+  }
+
+  /** Whether a message has begun and is not whole. */
+  boolean within() {
+    return framer.within();
+  }
+
+  @Override
+  public void received(byte[] octets, double arrived) {
+    try {
+      framer.feed(octets, body -> message(body, arrived));
+    } catch (MalformedException e) {
+      calls.unreadable(this, e.getMessage());
+    }
+  }
+
+  private void message(byte[] body, double arrived) {
+    if (closed) {
+      return;
+    }
+    lastWhole = arrived;
+    try {
+      calls.message(this, CallerCodec.decode(body), arrived);
+    } catch (MalformedException e) {
+      calls.unreadable(this, e.getMessage());
+    }
+  }
+
+  @Override
+  public void lost(Loss loss) {
+    closed = true;
+    calls.lost(this);
+  }
+
+  /** Sends a message; where too much waits, the connection is let go. */
+  boolean send(CallerMessage message) {
+    if (closed) {
+      return false;
+    }
+    boolean sent = wire.send(CallerCodec.encode(message));
+    if (!sent) {
+      wire.reset();
+      lost(Loss.CLOSED);
+    }
+    return sent;
+  }
+
+  /** Closes it from this side. */
+  void close() {
+    if (!closed) {
+      wire.close();
+      lost(Loss.CLOSED);
+    }
+  }
+}
--- /dev/null
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -0,0 +1,197 @@
+package coveladder.isupfront;
+
+import coveladder.CallPolicy;
+import coveladder.core.AttemptGuard;
+import coveladder.core.AttemptOrder;
+import coveladder.core.CallController;
+import coveladder.core.Clockwork;
+import coveladder.core.ExchangeList;
+import coveladder.core.FinalAnswer;
+import coveladder.core.HeldCall;
+import coveladder.core.Signalling;
+import coveladder.isupfront.Wires.Wire;
+import coveladder.isupfront.Wires.WireUser;
+import java.util.function.Function;
+
+/**
+ * The call controller on the platform's protocol: joins callers, switches and the journal service
+ * to the core. It decides nothing on calls; it opens no socket and reads no clock.
+ */
+public final class IsupFront implements Signalling {
+  private static final double SWEEP = 100;
+
+  /** Connections and requests still come for so long after the word to end, ms. */
+  private static final double STILL_COMING = 1_000;
+
+  /** By then every call has its answer, ms after the word to end. */
+  private static final double ANSWERED_BY = 3_100;
+
+  private final PlatformSettings settings;
+  private final Clockwork clock;
+  private final Counters counters = new Counters();
+  private final CallController controller;
+  private final SwitchLinks switches;
+  private final CallerCalls callers;
+  private final JournalFollower journal;
+  private double endsSince = Double.NaN;
+
+  /**
+   * Makes a front with its controller.
+   *
+   * @param policies makes the policy that decides, given where its actions go
+   */
+  public IsupFront(
+      PlatformSettings settings,
+      Limits limits,
+      Wires wires,
+      Clockwork clock,
+      Function<CallPolicy.Actions, CallPolicy> policies) {
+    this.settings = settings;
+    this.clock = clock;
+    AttemptGuard guard = new AttemptGuard(settings.policy().guard(), settings.grace());
+    int self = settings.policy().self();
+    this.controller = new CallController(settings.policy(), this, guard, new Ends(), policies);
+    this.switches = new SwitchLinks(controller, clock, wires, limits, counters, self);
+    SetUp.Reader reader =
+        new SetUp.Reader(settings.classes(), settings.policy().classes(), this::canBeCalled);
+    ReleaseKeeper releases = new ReleaseKeeper(clock);
+    this.callers = new CallerCalls(controller, clock, limits, reader, releases, switches, counters);
+    this.journal =
+        new JournalFollower(
+            controller, clock, wires, counters, settings.journal(), switches::follow);
+    switches.describeTo(callers::describe);
+  }
+
+  /** Whether the list knew an exchange of that number, which is not the own one. */
+  private boolean canBeCalled(int number) {
+    return number != settings.policy().self() && controller.list().knows(number);
+  }
+
+  /** Hears which calls are over. */
+  private final class Ends implements CallController.Journal {
+    @Override
+    public void ended(HeldCall call) {
+      callers.ended(call.call().id());
+    }
+  }
+
+  /** Begins. */
+  public void start() {
+    controller.start();
+    journal.start(settings.known(), settings.pos());
+    sweep();
+  }
+
+  private void sweep() {
+    switches.sweep();
+    callers.sweep();
+    journal.sweep();
+    end();
+    clock.after(SWEEP, this::sweep);
+  }
+
+  /** A caller connected. */
+  public WireUser accepted(Wire wire) {
+    return callers.accepted(wire);
+  }
+
+  /** A new configuration holds; of it, the address of the journal service is followed. */
+  public void reconfigure(PlatformSettings changed) {
+    journal.moved(changed.journal());
+  }
+
+  /** The controller is to end: calls still come for a while, then the last are answered. */
+  public void terminate() {
+    if (Double.isNaN(endsSince)) {
+      endsSince = clock.now();
+    }
+  }
+
+  private void end() {
+    double since = clock.now() - endsSince;
+    if (since >= STILL_COMING) {
+      callers.end();
+    }
+    if (since >= ANSWERED_BY) {
+      controller.shutDown();
+    }
+  }
+
+  /** Whether it was told to end and every call has its answer. */
+  public boolean ended() {
+    return clock.now() - endsSince > STILL_COMING && callers.open() == 0;
+  }
+
+  /** What was counted. */
+  public Counters counters() {
+    return counters;
+  }
+
+  /** One line on what is held. */
+  public String state() {
+    return "calls "
+        + controller.held()
+        + ", unanswered "
+        + callers.open()
+        + ", standing "
+        + switches.standing()
+        + ", caller links "
+        + callers.links()
+        + ", switch links "
+        + switches.connections()
+        + ", journal at "
+        + journal.pos();
+  }
+
+  /** The controller that it drives. */
+  public CallController controller() {
+    return controller;
+  }
+
+  // ---- What the core asks for ---------------------------------------------------------------
+
+  @Override
+  public void startAttempt(AttemptOrder order) {
+    switches.start(order, callers.setUp(order.call()));
+  }
+
+  @Override
+  public void cancelAttempt(String call, int attempt) {
+    switches.cancel(call, attempt);
+  }
+
+  @Override
+  public void releaseAttempt(String call, int attempt) {
+    switches.release(call);
+  }
+
+  @Override
+  public void answer(String call, FinalAnswer answer) {
+    callers.answer(call, answer);
+  }
+
+  @Override
+  public void releaseCaller(String call, boolean cut) {
+    callers.release(call, cut);
+  }
+
+  @Override
+  public void probe(ExchangeList.Entry exchange, double askedAt) {
+    switches.probe(exchange, askedAt);
+  }
+
+  @Override
+  public void tell(byte[] payload) {
+    counters.count("messages to other controllers, which the protocol does not carry");
+  }
+
+  @Override
+  public void subscribeList() {
+    // The journal service is followed from the start.
+  }
+
+  @Override
+  public Clockwork clockwork() {
+    return clock;
+  }
+}
--- /dev/null
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -0,0 +1,360 @@
+package coveladder.isupfront;
+
+import coveladder.CallPolicy.Load;
+import coveladder.CallPolicy.Outcome;
+import coveladder.CallPolicy.Reason;
+import coveladder.core.AttemptOrder;
+import coveladder.core.ExchangeList;
+import coveladder.isup.Cause;
+import coveladder.isup.SwitchMessage;
+import coveladder.isupfront.Wires.Loss;
+import coveladder.wire.ReportReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A switch as this controller speaks with it: its connections, the set-ups out and the calls that
+ * stand there. An answer counts only on the connection of its set-up; what concerns a standing call
+ * may come on any.
+ */
+final class SwitchLink {
+  private static final double AGAIN_AFTER = 50;
+  private static final double AGAIN_TURNED_AWAY = 250;
+  private static final double CHECK_AFTER = 1_500;
+  private static final double DOWN_AFTER = 1_000;
+  private static final int MOST_GIVEN_UP = 2_048;
+  private static final String NOTHING = "0000000000000000";
+
+  private final ExchangeList.Entry entry;
+  private final SwitchLinks links;
+  private final List<SwitchWire> wires = new ArrayList<>();
+  private final Map<String, Integer> standing = new LinkedHashMap<>();
+  private final Set<String> givenUp = new LinkedHashSet<>();
+  private final Set<String> toRelease = new LinkedHashSet<>();
+  private boolean stateKnown;
+  private boolean followed = true;
+  private double heard;
+  private double turnedAwaySince = Double.NaN;
+  private boolean connectingAgain;
+
+  /** A set-up that is out. */
+  static final class Out {
+    final AttemptOrder order;
+    final SetUp setUp;
+    final double since;
+    boolean sent;
+
+    Out(AttemptOrder order, SetUp setUp, double since) {
+      this.order = order;
+      this.setUp = setUp;
+      this.since = since;
+    }
+  }
+
+  SwitchLink(ExchangeList.Entry entry, SwitchLinks links) {
+    this.entry = entry;
+    this.links = links;
+    this.heard = links.now();
+    connect();
+  }
+
+  String id() {
+    return entry.id();
+  }
+
+  String address() {
+    return entry.address();
+  }
+
+  /** Whether the state of the group toward it came. */
+  boolean stateKnown() {
+    return stateKnown;
+  }
+
+  int wires() {
+    return wires.size();
+  }
+
+  int standing() {
+    return standing.size();
+  }
+
+  // ---- Connections --------------------------------------------------------------------------
+
+  private SwitchWire connect() {
+    SwitchWire wire = new SwitchWire(this, links.limits().message(), links.now());
+    int colon = entry.address().lastIndexOf(':');
+    String host = entry.address().substring(0, colon);
+    int port = Integer.parseInt(entry.address().substring(colon + 1));
+    wires.add(wire);
+    wire.connecting(links.wires().connect(host, port, wire));
+    return wire;
+  }
+
+  /** The connection with the fewest set-ups out; another is made beside it where all have some. */
+  private SwitchWire pick() {
+    SwitchWire best = null;
+    for (SwitchWire wire : wires) {
+      boolean fewer = best == null || wire.outs().size() < best.outs().size();
+      if (wire.isOpen() && !wire.silent() && fewer) {
+        best = wire;
+      }
+    }
+    boolean room = wires.size() < links.limits().switchLinks();
+    boolean making = wires.stream().anyMatch(wire -> !wire.isOpen());
+    if (room && !making && (best == null || !best.outs().isEmpty())) {
+      SwitchWire made = connect();
+      return best == null ? made : best;
+    }
+    return best != null ? best : wires.isEmpty() ? connect() : wires.get(wires.size() - 1);
+  }
+
+  void opened(SwitchWire wire) {
+    turnedAwaySince = Double.NaN;
+    for (String id : new ArrayList<>(toRelease)) {
+      toRelease.remove(id);
+      wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+    }
+    for (Out out : new ArrayList<>(wire.outs().values())) {
+      send(wire, out);
+    }
+  }
+
+  void lost(SwitchWire wire, Loss loss) {
+    wires.remove(wire);
+    if (loss == Loss.TURNED_AWAY && Double.isNaN(turnedAwaySince)) {
+      turnedAwaySince = links.now();
+    }
+    over(wire, loss == Loss.CLOSED);
+    connectAgain(loss == Loss.CLOSED ? AGAIN_AFTER : AGAIN_TURNED_AWAY);
+  }
+
+  private void over(SwitchWire wire, boolean wasOpen) {
+    List<Out> outs = new ArrayList<>(wire.outs().values());
+    wire.outs().clear();
+    for (Out out : outs) {
+      Outcome outcome = wasOpen && out.sent ? Outcome.RESET : Outcome.REFUSED;
+      links.over(out.order, outcome, Reason.NONE, Load.NOTHING);
+    }
+  }
+
+  private void connectAgain(double after) {
+    if (followed && wires.isEmpty() && !connectingAgain) {
+      connectingAgain = true;
+      links.after(
+          after,
+          () -> {
+            connectingAgain = false;
+            if (followed && wires.isEmpty()) {
+              connect();
+            }
+          });
+    }
+  }
+
+  /** What came cannot be read: the connection is of no further use, for any of its set-ups. */
+  void unreadable(SwitchWire wire, String found) {
+    links.counters().count("switch connections reset as unreadable: " + found);
+    drop(wire);
+  }
+
+  private void drop(SwitchWire wire) {
+    wire.reset();
+    wires.remove(wire);
+    over(wire, true);
+    connectAgain(0);
+  }
+
+  /**
+   * Looks for connections that hang within a line, and for a machine that fell silent: a new
+   * connection to it tells whether it is there.
+   */
+  void sweep() {
+    double now = links.now();
+    for (SwitchWire wire : new ArrayList<>(wires)) {
+      heard = Math.max(heard, wire.heard());
+      if (wire.stuck(now, links.limits().stuck())) {
+        links.counters().count("switch connections reset as stuck within a line");
+        drop(wire);
+      } else if (wire.silent() && wire.outs().isEmpty() && wires.size() > 1) {
+        wire.reset();
+        wires.remove(wire);
+      }
+    }
+    boolean waits = !standing.isEmpty() || wires.stream().anyMatch(wire -> !wire.outs().isEmpty());
+    boolean making = wires.stream().anyMatch(wire -> !wire.isOpen());
+    if (waits && now - heard > CHECK_AFTER && !making && !connectingAgain) {
+      check();
+    }
+    if (now - turnedAwaySince > DOWN_AFTER || now - heard > links.limits().unheard()) {
+      gone("cannot be reached");
+    }
+  }
+
+  private void check() {
+    if (wires.size() >= links.limits().switchLinks()) {
+      SwitchWire oldest = wires.get(0);
+      oldest.reset();
+      wires.remove(oldest);
+      over(oldest, true);
+    }
+    connect();
+  }
+
+  /** The switch is no more: what was out broke, and what stood there was cut. */
+  private void gone(String why) {
+    if (standing.isEmpty() && wires.stream().allMatch(wire -> wire.outs().isEmpty())) {
+      return;
+    }
+    links.counters().count("switches taken as gone: " + why);
+    for (SwitchWire wire : new ArrayList<>(wires)) {
+      if (wire.isOpen()) {
+        drop(wire);
+      }
+    }
+    Map<String, Integer> cut = new LinkedHashMap<>(standing);
+    standing.clear();
+    cut.forEach((id, attempt) -> links.cut(id, attempt));
+  }
+
+  /** The list holds it no more. */
+  void unfollow() {
+    followed = false;
+    gone("not on the list");
+    wires.forEach(SwitchWire::reset);
+    wires.clear();
+  }
+
+  // ---- What the controller asks for ---------------------------------------------------------
+
+  void start(AttemptOrder order, SetUp setUp) {
+    Out out = new Out(order, setUp, links.now());
+    SwitchWire wire = pick();
+    wire.outs().put(order.call(), out);
+    givenUp.remove(order.call());
+    if (wire.isOpen()) {
+      send(wire, out);
+    }
+  }
+
+  private void send(SwitchWire wire, Out out) {
+    out.sent = true;
+    double left = Math.max(1, out.order.within() - (links.now() - out.since));
+    Map<String, String> attrs = new LinkedHashMap<>();
+    attrs.put("class", out.setUp.className());
+    attrs.put("key", out.setUp.number());
+    attrs.put("left", Long.toString(Math.round(left)));
+    SwitchMessage message =
+        new SwitchMessage(
+            SwitchMessage.Kind.OPEN, out.order.call(), attrs, -1, out.setUp.description());
+    if (!wire.send(message)) {
+      links.counters().count("switch connections reset as too much waits");
+      links.after(0, () -> drop(wire));
+    }
+  }
+
+  /** Gives a set-up up; whether it was out here. One that has not left never leaves. */
+  boolean giveUp(String id, int attempt) {
+    for (SwitchWire wire : wires) {
+      Out out = wire.outs().get(id);
+      if (out != null && out.order.attempt() == attempt) {
+        wire.outs().remove(id);
+        if (out.sent) {
+          wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+          rememberGivenUp(id);
+          if (wire.heard() < out.since) {
+            wire.nowSilent();
+          }
+        }
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void rememberGivenUp(String id) {
+    givenUp.add(id);
+    if (givenUp.size() > MOST_GIVEN_UP) {
+      givenUp.remove(givenUp.iterator().next());
+    }
+  }
+
+  /** Ends a call that stands here; whether it did. */
+  boolean release(String id) {
+    if (standing.remove(id) == null) {
+      return false;
+    }
+    for (SwitchWire wire : wires) {
+      if (wire.isOpen() && !wire.silent()) {
+        wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+        return true;
+      }
+    }
+    toRelease.add(id);
+    return true;
+  }
+
+  void resume(String id) {
+    standing.put(id, 0);
+  }
+
+  // ---- Messages -----------------------------------------------------------------------------
+
+  void message(SwitchWire wire, SwitchMessage message) {
+    switch (message.kind()) {
+      case READY -> ready(wire, message);
+      case CLOSE -> closed(wire, message);
+      case STATUS -> {
+        stateKnown = true;
+        links.figures(id(), Outcomes.load(message.attrs().get("load")));
+      }
+      case PROBED -> links.probed(id(), message.code() == 1);
+      default -> {}
+    }
+  }
+
+  private void ready(SwitchWire wire, SwitchMessage message) {
+    String id = message.sid();
+    Out out = wire.outs().get(id);
+    if (out != null && out.sent) {
+      if (message.text() == null) {
+        unreadable(wire, "an answer without a description");
+        return;
+      }
+      wire.outs().remove(id);
+      standing.put(id, out.order.attempt());
+      links.stands(out.order, message.text());
+    } else if (!standing.containsKey(id) && givenUp.remove(id) && !isOut(id)) {
+      wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+    }
+  }
+
+  private boolean isOut(String id) {
+    return wires.stream().anyMatch(wire -> wire.outs().containsKey(id));
+  }
+
+  private void closed(SwitchWire wire, SwitchMessage message) {
+    String id = message.sid();
+    Out out = wire.outs().get(id);
+    Load load = Outcomes.load(message.attrs().get("load"));
+    if (out != null && out.sent) {
+      wire.outs().remove(id);
+      Reason reason = ReportReader.reason(message.attrs().getOrDefault("note", ""));
+      links.over(out.order, Outcomes.before(message.code()), reason, load);
+      return;
+    }
+    Integer attempt = standing.remove(id);
+    if (attempt != null) {
+      links.standingOver(id, attempt, Outcomes.after(message.code()), load);
+    }
+  }
+
+  /** Asks for a sign of life. */
+  void probe() {
+    pick().send(SwitchMessage.withCode(SwitchMessage.Kind.PROBE, NOTHING, 0));
+  }
+}
--- /dev/null
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -0,0 +1,197 @@
+package coveladder.isupfront;
+
+import coveladder.CallPolicy.Load;
+import coveladder.CallPolicy.Outcome;
+import coveladder.CallPolicy.Reason;
+import coveladder.CallPolicy.State;
+import coveladder.core.AttemptOrder;
+import coveladder.core.CallController;
+import coveladder.core.Clockwork;
+import coveladder.core.ExchangeList;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** All switches of the list but the own one, each with its connections. */
+final class SwitchLinks {
+  private static final double KNOWN_WITHIN = 1_000;
+
+  private final CallController controller;
+  private final Clockwork clock;
+  private final Wires wires;
+  private final Limits limits;
+  private final Counters counters;
+  private final int self;
+  private final Map<String, SwitchLink> links = new LinkedHashMap<>();
+  private final Map<String, SwitchLink> byCall = new LinkedHashMap<>();
+  private final Map<String, Double> probes = new LinkedHashMap<>();
+  private BiConsumer<String, String> descriptions = (call, text) -> {};
+  private final double began;
+
+  SwitchLinks(
+      CallController controller,
+      Clockwork clock,
+      Wires wires,
+      Limits limits,
+      Counters counters,
+      int self) {
+    this.controller = controller;
+    this.clock = clock;
+    this.wires = wires;
+    this.limits = limits;
+    this.counters = counters;
+    this.self = self;
+    this.began = clock.now();
+  }
+
+  /** Where the descriptions of answers go, just before the controller hears of each. */
+  void describeTo(BiConsumer<String, String> taker) {
+    descriptions = taker;
+  }
+
+  Wires wires() {
+    return wires;
+  }
+
+  Limits limits() {
+    return limits;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  double now() {
+    return clock.now();
+  }
+
+  void after(double delay, Runnable task) {
+    clock.after(delay, task);
+  }
+
+  /** The list has changed. */
+  void follow() {
+    ExchangeList list = controller.list();
+    for (SwitchLink link : new ArrayList<>(links.values())) {
+      ExchangeList.Entry entry = list.byId(link.id());
+      if (entry == null || !entry.address().equals(link.address())) {
+        links.remove(link.id());
+        link.unfollow();
+      }
+    }
+    for (ExchangeList.Entry entry : list.entries()) {
+      if (entry.number() != self && entry.state() != State.GONE) {
+        links.computeIfAbsent(entry.id(), id -> new SwitchLink(entry, this));
+      }
+    }
+  }
+
+  /** Whether the state of all groups is known, or should have been by now. */
+  boolean known() {
+    return clock.now() - began > KNOWN_WITHIN
+        || !links.isEmpty() && links.values().stream().allMatch(SwitchLink::stateKnown);
+  }
+
+  /** Looks after all connections. */
+  void sweep() {
+    new ArrayList<>(links.values()).forEach(SwitchLink::sweep);
+  }
+
+  // ---- What the controller asks for ---------------------------------------------------------
+
+  void start(AttemptOrder order, SetUp setUp) {
+    SwitchLink link = links.get(order.first().id());
+    if (link == null || setUp == null) {
+      clock.after(0, () -> over(order, Outcome.REFUSED, Reason.NONE, Load.NOTHING));
+      return;
+    }
+    byCall.put(order.call(), link);
+    link.start(order, setUp);
+  }
+
+  /** Gives a set-up up: it is over as soon as this is written. */
+  void cancel(String call, int attempt) {
+    SwitchLink link = byCall.get(call);
+    if (link != null && link.giveUp(call, attempt)) {
+      byCall.remove(call);
+      clock.after(
+          0,
+          () ->
+              controller.attemptOver(
+                  call, attempt, Outcome.CANCELLED, Reason.NONE, 0, Load.NOTHING));
+    }
+  }
+
+  void release(String call) {
+    SwitchLink link = byCall.remove(call);
+    if (link != null) {
+      link.release(call);
+    }
+  }
+
+  /** Takes a call up again that stands at a switch; false where the list has no such switch. */
+  boolean resume(String call, String exchange) {
+    SwitchLink link = links.get(exchange);
+    if (link != null) {
+      byCall.put(call, link);
+      link.resume(call);
+    }
+    return link != null;
+  }
+
+  void probe(ExchangeList.Entry exchange, double askedAt) {
+    SwitchLink link = links.get(exchange.id());
+    if (link != null) {
+      probes.put(exchange.id(), askedAt);
+      link.probe();
+    }
+  }
+
+  // ---- What the links tell ------------------------------------------------------------------
+
+  void stands(AttemptOrder order, String description) {
+    descriptions.accept(order.call(), description);
+    controller.attemptStands(order.call(), order.attempt());
+  }
+
+  void over(AttemptOrder order, Outcome outcome, Reason reason, Load load) {
+    byCall.remove(order.call());
+    controller.attemptOver(order.call(), order.attempt(), outcome, reason, 0, load);
+  }
+
+  void standingOver(String call, int attempt, Outcome outcome, Load load) {
+    byCall.remove(call);
+    controller.attemptOver(call, attempt, outcome, Reason.NONE, 0, load);
+  }
+
+  void cut(String call, int attempt) {
+    standingOver(call, attempt, Outcome.RESET, Load.NOTHING);
+  }
+
+  void figures(String exchange, Load load) {
+    controller.figures(exchange, load);
+  }
+
+  void probed(String exchange, boolean good) {
+    Double askedAt = probes.remove(exchange);
+    if (askedAt != null) {
+      controller.probed(exchange, good, askedAt);
+    }
+  }
+
+  /** Connections to switches. */
+  int connections() {
+    return links.values().stream().mapToInt(SwitchLink::wires).sum();
+  }
+
+  /** Calls that stand. */
+  int standing() {
+    return links.values().stream().mapToInt(SwitchLink::standing).sum();
+  }
+
+  /** Calls with a set-up out, or standing. */
+  int calls() {
+    return byCall.size();
+  }
+}
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -1,6 +1,5 @@
 package coveladder.net;
 
-import coveladder.sip.SipHost;
 import java.util.PriorityQueue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -28,8 +27,14 @@
   private long sequence;
   private long faults;
 
+  /** A timer that was set. */
+  public interface Timer {
+    /** Stops it; without effect once it ran. */
+    void cancel();
+  }
+
   /** A timer; equal times run in the order of their asking. */
-  private static final class Due implements Comparable<Due>, SipHost.Timer {
+  private static final class Due implements Comparable<Due>, Timer {
     private final double time;
     private final long order;
     private Runnable task;
@@ -106,7 +111,7 @@
   }
 
   /** Sets a timer, on the loop's thread or before it runs. */
-  public SipHost.Timer after(double delay, Runnable task) {
+  public Timer after(double delay, Runnable task) {
     Due due = new Due(now() + delay, sequence++, task);
     timers.add(due);
     return due;
--- a/net/src/main/java/coveladder/net/SocketNode.java
+++ b/net/src/main/java/coveladder/net/SocketNode.java
@@ -10,17 +10,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -35,20 +30,16 @@
   private static final int BIND_TRIES = 50;
   private static final byte[] PING = {'\r', '\n', '\r', '\n'};
   private static final byte[] PONG = {'\r', '\n'};
-  private static final Attribute<StreamFramer> FRAMER =
-      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("coveladder.framer");
 
   private final Sockets sockets;
   private final EventLoop loop;
   private final SocketLimits limits;
   private final SplittableRandom random;
-  private final FilterChain streams = Sockets.chain(new StreamFilter());
+  private final Streams streams;
   private final FilterChain datagrams = Sockets.chain(new DatagramFilter());
-  private final Map<Hop, Peer> peers = new HashMap<>();
-  private final Map<Connection<SocketAddress>, Peer> byConnection = new IdentityHashMap<>();
+  private final Map<Hop, Stream> peers = new HashMap<>();
   private final String host;
   private int port;
-  private Connection<SocketAddress> listening;
   private Connection<SocketAddress> bound;
   private volatile SipNode node;
   private long letGo;
@@ -67,6 +58,16 @@
     this.host = host;
     this.port = port;
     this.random = new SplittableRandom(seed);
+    this.streams =
+        new Streams(
+            sockets,
+            loop,
+            new Streams.Bounds(
+                limits.connections(),
+                limits.connections(),
+                limits.waitingBytes(),
+                limits.connectWithin()),
+            new StreamUser());
     bind();
   }
 
@@ -74,13 +75,12 @@
     IOException last = null;
     for (int i = 0; i < BIND_TRIES && bound == null; i++) {
       try {
-        listening = sockets.listen(streams, new InetSocketAddress(host, port));
-        int chosen = ((InetSocketAddress) listening.getLocalAddress()).getPort();
+        int chosen = streams.listen(new InetSocketAddress(host, port));
         bound = sockets.bind(datagrams, new InetSocketAddress(host, chosen));
         port = chosen;
       } catch (IOException e) {
         last = e;
-        closeListening();
+        streams.stopListening();
         if (port != 0) {
           break;
         }
@@ -91,13 +91,6 @@
     }
   }
 
-  private void closeListening() {
-    if (listening != null) {
-      listening.terminateSilently();
-      listening = null;
-    }
-  }
-
   /** Puts the element on its sockets and begins, on the loop's thread. */
   public void start(SipNode element) {
     loop.offer(
@@ -132,7 +125,7 @@
 
   @Override
   public Timer after(double delay, Runnable task) {
-    return loop.after(delay, task);
+    return loop.after(delay, task)::cancel;
   }
 
   @Override
@@ -163,75 +156,41 @@
   }
 
   private void sendStream(Hop to, byte[] message) {
-    Peer peer = peers.get(to);
+    Stream peer = peers.get(to);
     if (peer == null) {
       peer = connect(to);
     }
     if (peer != null && !peer.send(message)) {
       letGo++;
-      peer.abort();
-      lost(peer, Failure.RESET);
+      abort(peer);
     }
   }
 
   /** Begins to connect; null where there is no room for one more connection. */
-  private Peer connect(Hop to) {
+  private Stream connect(Hop to) {
     InetSocketAddress address = new InetSocketAddress(to.host(), to.port());
     if (bound == null || peers.size() >= limits.connections() || address.isUnresolved()) {
       loop.after(0, () -> tellFailed(to, Failure.REFUSED));
       return null;
     }
-    Peer peer = new Peer(to, true, limits.waitingBytes());
+    Stream peer = streams.connect(address);
+    peer.user(new Framing(to));
     peers.put(to, peer);
-    loop.after(limits.connectWithin(), () -> notConnected(peer));
-    sockets.connect(streams, address, new Connecting(peer));
     return peer;
   }
 
-  /** Hears of a connection being made, in a selector's thread. */
-  @SuppressWarnings({"rawtypes", "unchecked"})
-  private final class Connecting extends EmptyCompletionHandler<Connection> {
-    private final Peer peer;
-
-    Connecting(Peer peer) {
-      this.peer = peer;
-    }
-
-    @Override
-    public void completed(Connection made) {
-      if (!loop.offer(() -> connected(peer, made))) {
-        made.terminateSilently();
-      }
-    }
-
-    @Override
-    public void failed(Throwable cause) {
-      loop.offer(() -> notConnected(peer));
-    }
+  private static Hop hop(Stream peer) {
+    return ((Framing) peer.user()).hop;
   }
 
-  private void connected(Peer peer, Connection<SocketAddress> made) {
-    if (peers.get(peer.hop()) != peer) {
-      made.terminateSilently();
-    } else {
-      byConnection.put(made, peer);
-      peer.opened(made);
-      if (!made.isOpen()) {
-        lost(peer, Failure.RESET);
-      }
-    }
-  }
-
-  private void notConnected(Peer peer) {
-    if (!peer.open()) {
-      lost(peer, Failure.REFUSED);
-    }
+  private void abort(Stream peer) {
+    streams.reset(peer);
+    lost(peer, Failure.RESET);
   }
 
-  private void lost(Peer peer, Failure failure) {
-    byConnection.remove(peer.connection());
-    if (peers.remove(peer.hop(), peer)) {
-      tellFailed(peer.hop(), failure);
+  private void lost(Stream peer, Failure failure) {
+    if (peers.remove(hop(peer), peer)) {
+      tellFailed(hop(peer), failure);
     }
   }
 
@@ -243,12 +202,12 @@
 
   /** Keeps own connections alive and finds those whose other end is gone (RFC 5626). */
   private void pingAll() {
-    for (Peer peer : new ArrayList<>(peers.values())) {
-      if (peer.own() && peer.open() && peer.pinged()) {
-        peer.abort();
-        lost(peer, Failure.RESET);
+    for (Stream peer : streams.all()) {
+      Framing framing = (Framing) peer.user();
+      if (peer.own() && peer.open() && framing.pinged) {
+        abort(peer);
       } else if (peer.own() && peer.open()) {
-        peer.pinged(peer.send(PING));
+        framing.pinged = peer.send(PING);
       }
     }
     loop.after(limits.pingEvery(), this::pingAll);
@@ -258,16 +217,13 @@
 
   /** Resets all stream connections. On the loop's thread. */
   public void resetConnections() {
-    for (Peer peer : new ArrayList<>(peers.values())) {
-      peer.abort();
-      lost(peer, Failure.RESET);
-    }
+    streams.all().forEach(this::abort);
   }
 
   /** Takes the node off the network, or binds it again to its port. On the loop's thread. */
   public void reachable(boolean on) throws IOException {
     if (!on) {
-      closeListening();
+      streams.stopListening();
       if (bound != null) {
         bound.terminateSilently();
         bound = null;
@@ -280,7 +236,7 @@
 
   @Override
   public void close() {
-    closeListening();
+    streams.stopListening();
     if (bound != null) {
       bound.terminateSilently();
     }
@@ -301,11 +257,6 @@
     return octets;
   }
 
-  @SuppressWarnings("unchecked")
-  private static Connection<SocketAddress> connection(FilterChainContext context) {
-    return context.getConnection();
-  }
-
   private boolean deliver(Hop from, byte[] message) {
     double arrived = loop.now();
     return loop.offer(
@@ -326,90 +277,64 @@
     }
   }
 
-  /** Cuts streams into messages and tells of connections that come and go. */
-  private final class StreamFilter extends BaseFilter {
-    @Override
-    public NextAction handleAccept(FilterChainContext context) {
-      Connection<SocketAddress> connection = connection(context);
-      Hop from = hop(Transport.TCP, connection.getPeerAddress());
-      if (!loop.offer(() -> accepted(from, connection))) {
-        connection.terminateSilently();
-      }
-      return context.getInvokeAction();
-    }
+  /** What is kept with a stream: its hop, its framer, and whether a ping is out on it. */
+  private final class Framing {
+    final Hop hop;
+    final StreamFramer framer = new StreamFramer(limits.headBytes(), limits.bodyBytes());
+    boolean pinged;
 
-    @Override
-    public NextAction handleRead(FilterChainContext context) {
-      Connection<SocketAddress> connection = connection(context);
-      Hop from = hop(Transport.TCP, connection.getPeerAddress());
-      byte[] octets = octets(context);
-      if (octets.length <= PING.length) {
-        loop.offer(() -> alive(from));
-      }
-      try {
-        framer(connection)
-            .feed(
-                octets,
-                0,
-                octets.length,
-                message -> {
-                  if (!deliver(from, message)) {
-                    connection.terminateSilently();
-                  }
-                },
-                () -> loop.offer(() -> answerPing(from)));
-      } catch (SipParseException e) {
-        connection.terminateSilently();
-      }
-      return context.getStopAction();
+    Framing(Hop hop) {
+      this.hop = hop;
     }
+  }
 
-    private StreamFramer framer(Connection<SocketAddress> connection) {
-      StreamFramer framer = FRAMER.get(connection);
-      if (framer == null) {
-        framer = new StreamFramer(limits.headBytes(), limits.bodyBytes());
-        FRAMER.set(connection, framer);
+  /** Cuts streams into messages and tells of connections that come and go. */
+  private final class StreamUser implements Streams.User {
+    @Override
+    public void accepted(Stream stream) {
+      if (bound == null) {
+        streams.reset(stream);
+        return;
       }
-      return framer;
+      peers.put(hop(stream), stream);
     }
 
     @Override
-    public NextAction handleClose(FilterChainContext context) {
-      Connection<SocketAddress> connection = connection(context);
-      loop.offer(() -> closed(connection));
-      return context.getInvokeAction();
-    }
-  }
-
-  private void accepted(Hop from, Connection<SocketAddress> connection) {
-    if (bound == null || peers.size() >= limits.connections()) {
-      connection.terminateSilently();
-      return;
+    public void connected(Stream stream) {
+      // What waited has left already.
     }
-    Peer peer = new Peer(from, false, limits.waitingBytes());
-    peers.put(from, peer);
-    byConnection.put(connection, peer);
-    peer.opened(connection);
-  }
 
-  private void answerPing(Hop from) {
-    Peer peer = peers.get(from);
-    if (peer != null) {
-      peer.send(PONG);
+    @Override
+    public void lost(Stream stream, Streams.Loss loss) {
+      boolean broke = loss == Streams.Loss.CLOSED;
+      SocketNode.this.lost(stream, broke ? Failure.RESET : Failure.REFUSED);
     }
-  }
 
-  private void alive(Hop from) {
-    Peer peer = peers.get(from);
-    if (peer != null) {
-      peer.pinged(false);
+    @Override
+    public void taken(Stream stream) {
+      stream.user(new Framing(SocketNode.hop(Transport.TCP, stream.remote())));
     }
-  }
 
-  private void closed(Connection<SocketAddress> connection) {
-    Peer peer = byConnection.remove(connection);
-    if (peer != null) {
-      lost(peer, Failure.RESET);
+    @Override
+    public void read(Stream stream, byte[] octets, double arrived) {
+      Framing framing = (Framing) stream.user();
+      if (octets.length <= PING.length) {
+        loop.offer(() -> framing.pinged = false);
+      }
+      try {
+        framing.framer.feed(
+            octets,
+            0,
+            octets.length,
+            message -> {
+              if (!deliver(framing.hop, message)) {
+                stream.close();
+              }
+            },
+            () -> loop.offer(() -> stream.send(PONG)));
+      } catch (SipParseException e) {
+        stream.close();
+      }
     }
   }
 }
--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -27,6 +27,15 @@
 
   /** Starts the transports with so many selector threads each. */
   public Sockets(int selectors) throws IOException {
+    this(selectors, true);
+  }
+
+  /** Starts a transport for streams alone; no datagrams are sent or taken. */
+  public static Sockets streamsOnly(int selectors) throws IOException {
+    return new Sockets(selectors, false);
+  }
+
+  private Sockets(int selectors, boolean datagrams) throws IOException {
     tcp =
         TCPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -35,14 +44,19 @@
             .setServerConnectionBackLog(BACKLOG)
             .setSelectorRunnersCount(selectors)
             .build();
-    udp =
+    tcp.start();
+    udp = datagrams ? datagrams(selectors) : null;
+  }
+
+  private static UDPNIOTransport datagrams(int selectors) throws IOException {
+    UDPNIOTransport made =
         UDPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
             .setReadBufferSize(DATAGRAM)
             .setSelectorRunnersCount(selectors)
             .build();
-    tcp.start();
-    udp.start();
+    made.start();
+    return made;
   }
 
   static FilterChain chain(org.glassfish.grizzly.filterchain.Filter last) {
@@ -67,7 +81,9 @@
   public void close() {
     try {
       tcp.shutdownNow();
-      udp.shutdownNow();
+      if (udp != null) {
+        udp.shutdownNow();
+      }
     } catch (IOException e) {
       throw new IllegalStateException("transports did not stop: " + e.getMessage(), e);
     }
--- a/net/src/main/java/coveladder/net/Peer.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -1,7 +1,7 @@
 package coveladder.net;
 
-import coveladder.sip.Hop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
@@ -15,34 +15,53 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /** One stream connection, being made or open, with what waits to be written to it. */
-final class Peer {
-  private final Hop hop;
+public final class Stream {
+  private final InetSocketAddress remote;
   private final boolean own;
   private final int most;
   private final ArrayDeque<byte[]> early = new ArrayDeque<>();
   private final AtomicLong waiting = new AtomicLong();
   private Connection<SocketAddress> connection;
-  private boolean pinged;
+  private Object user;
+  private boolean closing;
 
-  /** Makes a peer; own ones were connected by this node. */
-  Peer(Hop hop, boolean own, int most) {
-    this.hop = hop;
+  /**
+   * Makes a stream.
+   *
+   * @param own whether this node connects it
+   * @param most most octets that wait to be written
+   */
+  Stream(InetSocketAddress remote, boolean own, int most) {
+    this.remote = remote;
     this.own = own;
     this.most = most;
   }
 
-  Hop hop() {
-    return hop;
+  /** The other end. */
+  public InetSocketAddress remote() {
+    return remote;
   }
 
-  boolean own() {
+  /** Whether this node connected it. */
+  public boolean own() {
     return own;
   }
 
-  boolean open() {
+  /** Whether it was made. */
+  public boolean open() {
     return connection != null;
   }
 
+  /** What its user keeps with it. */
+  public Object user() {
+    return user;
+  }
+
+  /** Keeps something of its user with it. */
+  public void user(Object kept) {
+    user = kept;
+  }
+
   Connection<SocketAddress> connection() {
     return connection;
   }
@@ -56,7 +75,7 @@
   }
 
   /** Sends octets, or keeps them until the connection is made; false where too much waits. */
-  boolean send(byte[] octets) {
+  public boolean send(byte[] octets) {
     if (waiting.addAndGet(octets.length) > most) {
       return false;
     }
@@ -75,18 +94,24 @@
         new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
           @Override
           public void completed(WriteResult<Buffer, SocketAddress> result) {
-            waiting.addAndGet(-octets.length);
+            if (waiting.addAndGet(-octets.length) == 0 && closing) {
+              close();
+            }
           }
         });
   }
 
-  /** Whether a ping is out that was not answered. */
-  boolean pinged() {
-    return pinged;
+  /** Octets that wait to be written. */
+  public long waiting() {
+    return waiting.get();
   }
 
-  void pinged(boolean out) {
-    pinged = out;
+  /** Closes once what waits has left. */
+  void closeWhenSent() {
+    closing = true;
+    if (waiting.get() == 0) {
+      close();
+    }
   }
 
   void close() {
--- a/rehearsal/src/main/java/coveladder/rehearsal/SocketWorld.java
+++ b/rehearsal/src/main/java/coveladder/rehearsal/SocketWorld.java
@@ -62,7 +62,7 @@
 
     @Override
     public Timer after(double delay, Runnable task) {
-      return loop.after(delay, task);
+      return loop.after(delay, task)::cancel;
     }
 
     @Override
--- a/app/src/main/java/coveladder/app/Signals.java
+++ b/serve/src/main/java/coveladder/serve/Signals.java
@@ -1,4 +1,4 @@
-package coveladder.app;
+package coveladder.serve;
 
 import java.lang.reflect.Proxy;
 
@@ -6,11 +6,11 @@
  * Signals of the operating system. The JDK has no public name for them; its own class is reached by
  * reflection, and where there is none the signal keeps its usual effect.
  */
-final class Signals {
+public final class Signals {
   private Signals() {}
 
   /** Runs a task at each signal of that name, such as HUP; whether that is possible here. */
-  static boolean on(String name, Runnable task) {
+  public static boolean on(String name, Runnable task) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- /dev/null
+++ b/serve/src/main/java/coveladder/serve/SocketWires.java
@@ -0,0 +1,97 @@
+package coveladder.serve;
+
+import coveladder.isupfront.Wires;
+import coveladder.net.EventLoop;
+import coveladder.net.Octets;
+import coveladder.net.Sockets;
+import coveladder.net.Stream;
+import coveladder.net.Streams;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+
+/** The front's connections on sockets: what is read is handed to the loop, within a bound. */
+final class SocketWires implements Wires, Streams.User {
+  /** Most octets that were read and wait for the loop. */
+  private static final int MOST_READ = 1 << 20;
+
+  private final EventLoop loop;
+  private final Streams streams;
+  private final Octets unread = new Octets(MOST_READ);
+  private Function<Wire, WireUser> acceptor = wire -> null;
+
+  SocketWires(Sockets sockets, EventLoop loop, Streams.Bounds bounds) {
+    this.loop = loop;
+    this.streams = new Streams(sockets, loop, bounds, this);
+  }
+
+  /** Takes callers' connections at an address, and hands each on. */
+  void listen(InetSocketAddress address, Function<Wire, WireUser> to) throws IOException {
+    acceptor = to;
+    streams.listen(address);
+  }
+
+  /** One stream as the front knows it. */
+  private final class SocketWire implements Wire {
+    private final Stream stream;
+
+    SocketWire(Stream stream) {
+      this.stream = stream;
+    }
+
+    @Override
+    public boolean send(byte[] octets) {
+      return stream.send(octets);
+    }
+
+    @Override
+    public void close() {
+      streams.close(stream);
+    }
+
+    @Override
+    public void reset() {
+      streams.reset(stream);
+    }
+  }
+
+  @Override
+  public Wire connect(String host, int port, WireUser user) {
+    Stream stream = streams.connect(new InetSocketAddress(host, port));
+    stream.user(user);
+    return new SocketWire(stream);
+  }
+
+  private static WireUser user(Stream stream) {
+    return (WireUser) stream.user();
+  }
+
+  @Override
+  public void accepted(Stream stream) {
+    stream.user(acceptor.apply(new SocketWire(stream)));
+  }
+
+  @Override
+  public void connected(Stream stream) {
+    user(stream).opened();
+  }
+
+  @Override
+  public void lost(Stream stream, Streams.Loss loss) {
+    user(stream).lost(Loss.valueOf(loss.name()));
+  }
+
+  @Override
+  public void read(Stream stream, byte[] octets, double arrived) {
+    if (!unread.take(octets.length)) {
+      return;
+    }
+    loop.execute(
+        () -> {
+          unread.done(octets.length);
+          if (streams.holds(stream)) {
+            user(stream).received(octets, arrived);
+          }
+        });
+  }
+}
--- a/simhost/src/main/java/coveladder/simhost/EventReader.java
+++ b/simhost/src/main/java/coveladder/simhost/EventReader.java
@@ -9,7 +9,9 @@
 import coveladder.CallPolicy.Reason;
 import coveladder.CallPolicy.Report;
 import coveladder.CallPolicy.Stands;
-import coveladder.CallPolicy.State;
+import coveladder.wire.Fields;
+import coveladder.wire.ReportReader;
+import coveladder.wire.WireException;
 import java.util.List;
 import java.util.Map;
 
@@ -19,16 +21,10 @@
 
   static Exchange exchange(Fields f) {
     return new Exchange(
-        f.text("switch"), f.small("number"), state(f.text("state")), f.number("startTime", 0));
-  }
-
-  private static State state(String word) {
-    return switch (word) {
-      case "in_service" -> State.IN_SERVICE;
-      case "terminating" -> State.DRAINING;
-      case "terminated" -> State.GONE;
-      default -> throw new WireException("unknown state=" + word);
-    };
+        f.text("switch"),
+        f.small("number"),
+        ReportReader.state(f.text("state")),
+        f.number("startTime", 0));
   }
 
   static ListNews news(Fields f, Map<Integer, List<Exchange>> manifests) {
@@ -66,7 +62,7 @@
   static Ended ended(Fields f, String[] columns) {
     Outcome outcome = outcome(f.text("ending"));
     int note = f.small("note", 0);
-    Reason reason = reason(note);
+    Reason reason = ReportReader.reason(note);
     return new Ended(
         f.text("handle"),
         f.small("trial"),
@@ -98,38 +94,7 @@
     };
   }
 
-  private static Reason reason(int note) {
-    return switch (note % 16) {
-      case 1 -> Reason.NO_CIRCUIT;
-      case 2 -> note < 16 ? Reason.TURNED_BACK : Reason.FULL_BEYOND;
-      case 3 -> Reason.PROCESSOR_FULL;
-      case 4 -> Reason.NUMBER_BUSY;
-      default -> Reason.NONE;
-    };
-  }
-
   private static Load load(Fields f, String[] columns) {
-    double[] values = f.numbers("report");
-    if (values.length == 0) {
-      return Load.NOTHING;
-    }
-    return new Load(
-        value("free", values, columns),
-        value("size", values, columns),
-        value("busy_reqs", values, columns),
-        value("pending", values, columns),
-        value("cpu_share", values, columns),
-        value("svc_ms", values, columns),
-        value("can_take", values, columns),
-        value("hold_back", values, columns));
-  }
-
-  private static double value(String name, double[] values, String[] columns) {
-    for (int i = 0; i < columns.length && i < values.length; i++) {
-      if (columns[i].equals(name)) {
-        return values[i] < 0 ? Double.NaN : values[i];
-      }
-    }
-    return Double.NaN;
+    return ReportReader.load(f.numbers("report"), columns);
   }
 }
--- a/simhost/src/main/java/coveladder/simhost/Main.java
+++ b/simhost/src/main/java/coveladder/simhost/Main.java
@@ -1,5 +1,6 @@
 package coveladder.simhost;
 
+import coveladder.wire.WireException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
--- a/simhost/src/main/java/coveladder/simhost/SimHost.java
+++ b/simhost/src/main/java/coveladder/simhost/SimHost.java
@@ -2,6 +2,9 @@
 
 import coveladder.CallPolicy;
 import coveladder.NestedThresholdPolicy;
+import coveladder.wire.Fields;
+import coveladder.wire.SettingsReader;
+import coveladder.wire.WireException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -41,7 +44,7 @@
   }
 
   private void read(String text) {
-    Fields f = new Fields(text);
+    Fields f = Fields.ofLine(text);
     switch (f.message()) {
       case "BATCH" -> begin(f);
       case "GO" -> flush();
--- a/simhost/src/main/java/coveladder/simhost/Fields.java
+++ b/wire/src/main/java/coveladder/wire/Fields.java
@@ -1,17 +1,24 @@
-package coveladder.simhost;
+package coveladder.wire;
 
 import java.util.HashMap;
 import java.util.Map;
 
-/** The name=value pairs of one line. */
-final class Fields {
+/** Named values of one message, or of the settings by their paths. */
+public final class Fields {
   private final String message;
-  private final Map<String, String> values = new HashMap<>();
+  private final Map<String, String> values;
+
+  /** Takes values that were read already; the message's name stands in errors. */
+  public Fields(String message, Map<String, String> values) {
+    this.message = message;
+    this.values = values;
+  }
 
   /** Reads the pairs that follow the first word of a line; words without a sign are skipped. */
-  Fields(String line) {
+  public static Fields ofLine(String line) {
     int end = line.indexOf(' ');
-    message = end < 0 ? line : line.substring(0, end);
+    String message = end < 0 ? line : line.substring(0, end);
+    Map<String, String> values = new HashMap<>();
     while (end >= 0) {
       int start = end + 1;
       end = line.indexOf(' ', start);
@@ -21,36 +28,44 @@
         values.put(pair.substring(0, sign), pair.substring(sign + 1));
       }
     }
+    return new Fields(message, values);
   }
 
-  String message() {
+  /** The name of the message. */
+  public String message() {
     return message;
   }
 
-  boolean has(String name) {
+  /** Whether a value is there and not empty. */
+  public boolean has(String name) {
     return !values.getOrDefault(name, "").isEmpty();
   }
 
-  String text(String name) {
+  /** A value that must be there. */
+  public String text(String name) {
     if (!has(name)) {
       throw new WireException(message + " lacks " + name);
     }
     return values.get(name);
   }
 
-  String text(String name, String absent) {
+  /** A value, or what stands for it where it is absent. */
+  public String text(String name, String absent) {
     return has(name) ? values.get(name) : absent;
   }
 
-  double number(String name) {
+  /** A finite number that must be there. */
+  public double number(String name) {
     return parse(name, text(name));
   }
 
-  double number(String name, double absent) {
+  /** A finite number, or what stands for it where it is absent. */
+  public double number(String name, double absent) {
     return has(name) ? number(name) : absent;
   }
 
-  long whole(String name) {
+  /** A whole number that must be there. */
+  public long whole(String name) {
     String text = text(name);
     try {
       return Long.parseLong(text);
@@ -59,7 +74,8 @@
     }
   }
 
-  int small(String name) {
+  /** A whole number of 32 bits that must be there. */
+  public int small(String name) {
     long value = whole(name);
     if (value != (int) value) {
       throw unreadable(name, text(name));
@@ -67,12 +83,13 @@
     return (int) value;
   }
 
-  int small(String name, int absent) {
+  /** A whole number of 32 bits, or what stands for it where it is absent. */
+  public int small(String name, int absent) {
     return has(name) ? small(name) : absent;
   }
 
   /** Reads a yes or no, written 1 and 0 in messages and as words in settings. */
-  boolean flag(String name) {
+  public boolean flag(String name) {
     String text = text(name, "0");
     if (text.equals("1") || text.equals("true")) {
       return true;
@@ -84,12 +101,12 @@
   }
 
   /** Reads a list of plain values set apart by commas. */
-  String[] list(String name) {
+  public String[] list(String name) {
     return has(name) ? values.get(name).split(",", -1) : new String[0];
   }
 
   /** Reads a list of numbers set apart by commas. */
-  double[] numbers(String name) {
+  public double[] numbers(String name) {
     String[] texts = list(name);
     double[] numbers = new double[texts.length];
     for (int i = 0; i < texts.length; i++) {
--- /dev/null
+++ b/wire/src/main/java/coveladder/wire/ReportReader.java
@@ -0,0 +1,79 @@
+package coveladder.wire;
+
+import coveladder.CallPolicy.Load;
+import coveladder.CallPolicy.Reason;
+import coveladder.CallPolicy.State;
+import java.util.function.ToDoubleFunction;
+
+/** The one mapping of the platform's words for loads, reasons and states to those of the policy. */
+public final class ReportReader {
+  private ReportReader() {}
+
+  /** Load figures in the order of the columns that the settings name; below nought: not told. */
+  public static Load load(double[] values, String[] columns) {
+    if (values.length == 0) {
+      return Load.NOTHING;
+    }
+    return load(name -> value(name, values, columns));
+  }
+
+  /** Load figures by the settings' names; NaN or below nought: not told. */
+  public static Load load(ToDoubleFunction<String> named) {
+    return new Load(
+        told(named, "free"),
+        told(named, "size"),
+        told(named, "busy_reqs"),
+        told(named, "pending"),
+        told(named, "cpu_share"),
+        told(named, "svc_ms"),
+        told(named, "can_take"),
+        told(named, "hold_back"));
+  }
+
+  private static double told(ToDoubleFunction<String> named, String name) {
+    double value = named.applyAsDouble(name);
+    return value < 0 ? Double.NaN : value;
+  }
+
+  private static double value(String name, double[] values, String[] columns) {
+    for (int i = 0; i < columns.length && i < values.length; i++) {
+      if (columns[i].equals(name)) {
+        return values[i];
+      }
+    }
+    return Double.NaN;
+  }
+
+  /** Why a set-up was not made, by the number of the note. */
+  public static Reason reason(int note) {
+    return switch (note % 16) {
+      case 1 -> Reason.NO_CIRCUIT;
+      case 2 -> note < 16 ? Reason.TURNED_BACK : Reason.FULL_BEYOND;
+      case 3 -> Reason.PROCESSOR_FULL;
+      case 4 -> Reason.NUMBER_BUSY;
+      default -> Reason.NONE;
+    };
+  }
+
+  /** Why a set-up was not made, by the word of the note; words that are unknown give none. */
+  public static Reason reason(String note) {
+    return switch (note) {
+      case "all_trunks_busy" -> Reason.NO_CIRCUIT;
+      case "via_said_no" -> Reason.TURNED_BACK;
+      case "far_cpu_full" -> Reason.FULL_BEYOND;
+      case "cpu_full" -> Reason.PROCESSOR_FULL;
+      case "number_busy" -> Reason.NUMBER_BUSY;
+      default -> Reason.NONE;
+    };
+  }
+
+  /** What the list says of an exchange. */
+  public static State state(String word) {
+    return switch (word) {
+      case "in_service" -> State.IN_SERVICE;
+      case "terminating" -> State.DRAINING;
+      case "terminated" -> State.GONE;
+      default -> throw new WireException("unknown state=" + word);
+    };
+  }
+}
--- a/simhost/src/main/java/coveladder/simhost/SettingsReader.java
+++ b/wire/src/main/java/coveladder/wire/SettingsReader.java
@@ -1,4 +1,4 @@
-package coveladder.simhost;
+package coveladder.wire;
 
 import coveladder.CallPolicy.CallClass;
 import coveladder.CallPolicy.Layout;
@@ -6,11 +6,19 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Turns the pairs of a START line into settings; pairs that it does not know are skipped. */
-final class SettingsReader {
+/**
+ * The one mapping of the platform's settings, by path, to those of the policy: for the adapter and
+ * for the front. Paths that it does not know are skipped.
+ */
+public final class SettingsReader {
   private SettingsReader() {}
 
-  static Settings read(Fields f) {
+  /**
+   * Reads settings.
+   *
+   * @throws WireException naming a path that lacks or cannot be read
+   */
+  public static Settings read(Fields f) {
     boolean retryAfter = f.flag("permissions.retryAfter");
     return new Settings(
         layout(f.text("familyInfo.layout", "mesh")),
