Calls of switches that fell silent or started again are released in time

Ruled out: releases that were lost with a caller's connection (caller links steady at 4, nothing owed).

IsupFront.canBeCalled asks for a number of the fleet now; where such calls go is the module's.

By the new tests: without canonical names Jackson reads octets through a decoder that replaces what is no UTF-8, so a spoilt answer would have been passed on.

--- a/isup/src/main/java/coveladder/isup/Json.java
+++ b/isup/src/main/java/coveladder/isup/Json.java
@@ -10,13 +10,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Jackson streaming as this package uses it. */
+/**
+ * Jackson streaming as this package uses it. Names stay canonicalized (Jackson bounds its table):
+ * without that, it reads octets through a decoder that puts a sign of its own for what is no UTF-8.
+ */
 public final class Json {
   static final JsonFactory FACTORY =
       new JsonFactoryBuilder()
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
-          .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
           .disable(JsonWriteFeature.ESCAPE_NON_ASCII)
           .build();
 
--- /dev/null
+++ b/isup/src/test/java/coveladder/isup/SwitchCodecTest.java
@@ -0,0 +1,135 @@
+package coveladder.isup;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SwitchCodecTest {
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void aDescriptionComesThroughBothWaysUnchanged() throws MalformedException {
+    String text = "9d41\r\nc=IN \"q\" \\ \u00e9 \ud83d\ude00\u0000\t\n";
+    SwitchMessage out =
+        new SwitchMessage(
+            SwitchMessage.Kind.READY, "9b1f03aa5c7e2d41", Map.of("load", "x0:1"), -1, text);
+    byte[] line = SwitchCodec.encode(out);
+    assertEquals('\n', line[line.length - 1]);
+    assertEquals(out, SwitchCodec.decode(line));
+  }
+
+  @Test
+  void numbersInFieldsAreKeptAndFurtherMembersSkipped() throws MalformedException {
+    SwitchMessage read =
+        SwitchCodec.decode(
+            bytes(
+                "{\"msg\":\"close\",\"x\":[{}],\"sid\":\"a\",\"attrs\":{\"n\":1.50},\"code\":34}"));
+    assertEquals(
+        new SwitchMessage(SwitchMessage.Kind.CLOSE, "a", Map.of("n", "1.50"), 34, null), read);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "noise",
+        "[]",
+        "{}",
+        "{\"msg\":\"ready\"",
+        "{\"msg\":\"never heard\"}",
+        "{\"msg\":\"ready\",\"msg\":\"close\"}",
+        "{\"msg\":\"ready\"}{\"msg\":\"ready\"}",
+        "{\"msg\":\"ready\",\"text\":7}",
+        "{\"msg\":\"ready\",\"text\":\"\\ud83d\"}",
+        "{\"msg\":\"ready\",\"text\":\"\\ude00x\"}",
+        "{\"msg\":\"close\",\"code\":\"34\"}",
+        "{\"msg\":\"close\",\"code\":34000000000}",
+        "{\"msg\":\"close\",\"attrs\":[]}",
+        "{\"msg\":\"close\",\"attrs\":{\"a\":{}}}"
+      })
+  void linesThatAreNoMessageAreRefused(String line) {
+    assertThrows(MalformedException.class, () -> SwitchCodec.decode(bytes(line)));
+  }
+
+  @Test
+  void octetsThatAreNoUtf8AreRefused() {
+    byte[] line = bytes("{\"msg\":\"ready\",\"text\":\"x\"}");
+    line[line.length - 3] = (byte) 0xff;
+    assertThrows(MalformedException.class, () -> SwitchCodec.decode(line));
+  }
+
+  @Test
+  void linesAreReadWhereverTheyAreCutAndEndlessOnesEnd() throws MalformedException {
+    byte[] octets = bytes("one\n\ntwo\nrest");
+    for (int at = 0; at <= octets.length; at++) {
+      LineFramer framer = new LineFramer(8);
+      List<String> lines = new ArrayList<>();
+      framer.feed(java.util.Arrays.copyOf(octets, at), l -> lines.add(new String(l)));
+      framer.feed(
+          java.util.Arrays.copyOfRange(octets, at, octets.length), l -> lines.add(new String(l)));
+      assertEquals(List.of("one", "", "two"), lines);
+      assertTrue(framer.within());
+    }
+    LineFramer framer = new LineFramer(8);
+    assertFalse(framer.within());
+    assertThrows(MalformedException.class, () -> framer.feed(new byte[9], line -> {}));
+  }
+
+  @Test
+  void theJournalsLinesAreReadInBothForms() throws MalformedException {
+    JournalLine event =
+        JournalLine.decode(
+            bytes(
+                "{\"pos\":41,\"hosts\":{\"generation\":7,\"reset\":true,\"instances\":[{"
+                    + "\"instanceId\":\"s-1\",\"hostPort\":\"10.1.0.9:2905\",\"zone\":null,\"cell\":2,"
+                    + "\"lifecycle\":\"in_service\",\"weight\":4,\"startedAtMs\":0}]}}"));
+    assertTrue(event.event() && event.whole());
+    assertEquals(
+        List.of(new JournalLine.Entry("s-1", "10.1.0.9", 2905, 2, "in_service", 0)),
+        event.entries());
+    for (String line : new String[] {"41", "{\"pos\":41}"}) {
+      JournalLine number = JournalLine.decode(bytes(line));
+      assertFalse(number.event());
+      assertEquals(41, number.pos());
+    }
+    for (String line :
+        new String[] {"x", "{}", "{\"pos\":41,\"hosts\":{\"insta", "{\"pos\":\"a\"}"}) {
+      assertThrows(MalformedException.class, () -> JournalLine.decode(bytes(line)));
+    }
+  }
+
+  @Test
+  void aDocumentIsReadByPaths() throws MalformedException {
+    Map<String, String> paths =
+        Json.paths(bytes("{\"a\":{\"b\":[{\"c\":1},{\"c\":true}],\"d\":[1.5,2],\"e\":null}}"));
+    assertEquals(
+        Map.of(
+            "a.b.0.c",
+            "1",
+            "a.b.1.c",
+            "true",
+            "a.b.count",
+            "2",
+            "a.d",
+            "1.5,2",
+            "a.d.0",
+            "1.5",
+            "a.d.1",
+            "2",
+            "a.d.count",
+            "2"),
+        paths);
+  }
+}
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -62,9 +62,15 @@
     switches.describeTo(callers::describe);
   }
 
-  /** Whether the list knew an exchange of that number, which is not the own one. */
+  /**
+   * Whether a number can be of another exchange. The list lacks one that has not come up yet or has
+   * gone, and a controller that starts meanwhile never heard of it: where calls to it go then is
+   * the policy's matter. Guards the core against numbers that are made up.
+   */
   private boolean canBeCalled(int number) {
-    return number != settings.policy().self() && controller.list().knows(number);
+    return number != settings.policy().self()
+        && (number >= 0 && number < settings.policy().instances()
+            || controller.list().knows(number));
   }
 
   /** Hears which calls are over. */
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -58,6 +58,11 @@
     private Wire wire;
     private double heard = clock.now();
 
+    @Override
+    public boolean urgent() {
+      return true;
+    }
+
     @Override
     public void received(byte[] octets, double arrived) {
       try {
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -29,10 +29,10 @@
   private static final int MOST_GIVEN_UP = 2_048;
   private static final String NOTHING = "0000000000000000";
 
-  private final ExchangeList.Entry entry;
+  private ExchangeList.Entry entry;
   private final SwitchLinks links;
   private final List<SwitchWire> wires = new ArrayList<>();
-  private final Map<String, Integer> standing = new LinkedHashMap<>();
+  private final Map<String, Standing> standing = new LinkedHashMap<>();
   private final Set<String> givenUp = new LinkedHashSet<>();
   private final Set<String> toRelease = new LinkedHashSet<>();
   private boolean stateKnown;
@@ -55,6 +55,14 @@
     }
   }
 
+  /**
+   * A call that stands here.
+   *
+   * @param attempt the set-up that made it
+   * @param since clock at which that set-up left, or the call was told to stand, ms
+   */
+  private record Standing(int attempt, double since) {}
+
   SwitchLink(ExchangeList.Entry entry, SwitchLinks links) {
     this.entry = entry;
     this.links = links;
@@ -113,8 +121,14 @@
     return best != null ? best : wires.isEmpty() ? connect() : wires.get(wires.size() - 1);
   }
 
+  /** Octets came from it, or a connection to it was made: it is there. */
+  void heard(double when) {
+    heard = Math.max(heard, when);
+  }
+
   void opened(SwitchWire wire) {
     turnedAwaySince = Double.NaN;
+    heard(links.now());
     for (String id : new ArrayList<>(toRelease)) {
       toRelease.remove(id);
       wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
@@ -176,7 +190,6 @@
   void sweep() {
     double now = links.now();
     for (SwitchWire wire : new ArrayList<>(wires)) {
-      heard = Math.max(heard, wire.heard());
       if (wire.stuck(now, links.limits().stuck())) {
         links.counters().count("switch connections reset as stuck within a line");
         drop(wire);
@@ -196,15 +209,37 @@
   }
 
   private void check() {
+    SwitchWire oldest = wires.isEmpty() ? null : wires.get(0);
     if (wires.size() >= links.limits().switchLinks()) {
-      SwitchWire oldest = wires.get(0);
+      if (!oldest.outs().isEmpty()) {
+        return;
+      }
       oldest.reset();
       wires.remove(oldest);
-      over(oldest, true);
     }
     connect();
   }
 
+  /**
+   * The list names a later start: what stood there before was cut with the old process. Guards
+   * against calls left standing where a machine fell silent and came back before it was given up.
+   */
+  void listed(ExchangeList.Entry now) {
+    boolean startedAgain = now.started() > entry.started();
+    entry = now;
+    if (startedAgain) {
+      links.counters().count("switches that started again");
+      cutThoseBefore(now.started());
+    }
+  }
+
+  private void cutThoseBefore(double time) {
+    Map<String, Standing> cut = new LinkedHashMap<>(standing);
+    cut.values().removeIf(call -> call.since() >= time);
+    standing.keySet().removeAll(cut.keySet());
+    cut.forEach((id, call) -> links.cut(id, call.attempt()));
+  }
+
   /** The switch is no more: what was out broke, and what stood there was cut. */
   private void gone(String why) {
     if (standing.isEmpty() && wires.stream().allMatch(wire -> wire.outs().isEmpty())) {
@@ -216,9 +251,7 @@
         drop(wire);
       }
     }
-    Map<String, Integer> cut = new LinkedHashMap<>(standing);
-    standing.clear();
-    cut.forEach((id, attempt) -> links.cut(id, attempt));
+    cutThoseBefore(Double.POSITIVE_INFINITY);
   }
 
   /** The list holds it no more. */
@@ -299,7 +332,7 @@
   }
 
   void resume(String id) {
-    standing.put(id, 0);
+    standing.put(id, new Standing(0, links.now()));
   }
 
   // ---- Messages -----------------------------------------------------------------------------
@@ -326,7 +359,7 @@
         return;
       }
       wire.outs().remove(id);
-      standing.put(id, out.order.attempt());
+      standing.put(id, new Standing(out.order.attempt(), out.since));
       links.stands(out.order, message.text());
     } else if (!standing.containsKey(id) && givenUp.remove(id) && !isOut(id)) {
       wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
@@ -347,9 +380,9 @@
       links.over(out.order, Outcomes.before(message.code()), reason, load);
       return;
     }
-    Integer attempt = standing.remove(id);
-    if (attempt != null) {
-      links.standingOver(id, attempt, Outcomes.after(message.code()), load);
+    Standing call = standing.remove(id);
+    if (call != null) {
+      links.standingOver(id, call.attempt(), Outcomes.after(message.code()), load);
     }
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -82,7 +82,7 @@
     }
     for (ExchangeList.Entry entry : list.entries()) {
       if (entry.number() != self && entry.state() != State.GONE) {
-        links.computeIfAbsent(entry.id(), id -> new SwitchLink(entry, this));
+        links.computeIfAbsent(entry.id(), id -> new SwitchLink(entry, this)).listed(entry);
       }
     }
   }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchWire.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchWire.java
@@ -79,6 +79,7 @@
       return;
     }
     heard = arrived;
+    link.heard(arrived);
     silent = false;
     try {
       framer.feed(octets, this::line);
--- a/isupfront/src/main/java/coveladder/isupfront/Wires.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Wires.java
@@ -30,6 +30,11 @@
      */
     void received(byte[] octets, double arrived);
 
+    /** Whether what it brings is heard before all else that waits, as the list's news is. */
+    default boolean urgent() {
+      return false;
+    }
+
     /** It is no more, without this side's doing. */
     void lost(Loss loss);
   }
--- /dev/null
+++ b/isupfront/src/test/java/coveladder/isupfront/LifeTest.java
@@ -0,0 +1,183 @@
+package coveladder.isupfront;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import coveladder.isup.CallerCodec;
+import coveladder.isup.CallerMessage;
+import coveladder.isupfront.Wires.Loss;
+import coveladder.wire.WireException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Start, journal, new configurations and the end. */
+class LifeTest {
+  private Script script;
+  private Bed bed;
+
+  @BeforeEach
+  void begin() {
+    bed = new Bed(deeds -> script = new Script(deeds));
+    script.news();
+  }
+
+  private static String event(int pos, String id, String state) {
+    return "{\"pos\":"
+        + pos
+        + ",\"hosts\":{\"generation\":"
+        + pos
+        + ",\"reset\":false,"
+        + "\"instances\":[{\"instanceId\":\""
+        + id
+        + "\",\"hostPort\":\"127.0.0.2:2\",\"cell\":1,"
+        + "\"lifecycle\":\""
+        + state
+        + "\",\"startedAtMs\":0}]}}";
+  }
+
+  private List<String> listed() {
+    return script.news().stream().filter(e -> e.startsWith("list")).toList();
+  }
+
+  private static byte[] test() {
+    return CallerCodec.encode(CallerMessage.withCause(CallerMessage.TEST, Bed.id(0), 0));
+  }
+
+  @Test
+  void aTestPassesOnceTheStateOfAllGroupsIsKnown() {
+    Bed.FakeWire caller = bed.caller();
+    caller.feed(test());
+    bed.open();
+    caller.feed(test());
+    assertEquals(List.of("53 0 cause 0", "53 0 cause 1"), caller.news());
+  }
+
+  @Test
+  void aTestPassesInTheEndWhereAGroupStaysUnknown() {
+    Bed.FakeWire caller = bed.caller();
+    bed.clock.run(1_100);
+    caller.feed(test());
+    assertEquals(List.of("53 0 cause 1"), caller.news());
+  }
+
+  @Test
+  void eventsAreTakenOnceAndInOrder() {
+    Bed.FakeWire journal = bed.to(8500);
+    assertEquals(List.of("tail 1"), journal.news());
+    journal.feed(event(2, "s1", "terminating"));
+    journal.feed(event(2, "s1", "in_service"));
+    journal.feed("2");
+    assertEquals(List.of("list s1 DRAINING"), listed());
+    journal.feed(event(4, "s1", "terminated"));
+    bed.clock.run(50);
+    assertTrue(journal.ended);
+    assertEquals(List.of("tail 2"), bed.to(8500).news());
+    assertEquals(List.of(), listed());
+  }
+
+  @Test
+  void aBreakInMidEventIsAskedForAgainAtOnce() {
+    Bed.FakeWire journal = bed.to(8500);
+    journal.feed(event(2, "s1", "terminating").substring(0, 40).getBytes());
+    journal.lose(Loss.CLOSED);
+    bed.clock.run(1);
+    assertEquals(List.of("tail 1"), bed.to(8500).news());
+    bed.to(8500).feed(event(2, "s1", "terminating"));
+    assertEquals(List.of("list s1 DRAINING"), listed());
+  }
+
+  @Test
+  void aServiceThatFellSilentIsAskedAgainInTime() {
+    Bed.FakeWire journal = bed.to(8500);
+    bed.clock.run(1_700);
+    assertTrue(journal.ended);
+    assertEquals(List.of("tail 1"), bed.to(8500).news());
+  }
+
+  @Test
+  void aNumberThatRanAheadShowsAnEventLeftOut() {
+    Bed.FakeWire journal = bed.to(8500);
+    journal.feed("3");
+    bed.clock.run(50);
+    assertNotSame(journal, bed.to(8500));
+  }
+
+  @Test
+  void aNewConfigurationMovesTheJournalAndNumbersGoOn() {
+    Bed.FakeWire journal = bed.to(8500);
+    journal.feed(event(2, "s1", "terminating"));
+    String moved = new String(Bed.CONFIG, StandardCharsets.UTF_8).replace("8500", "8600");
+    bed.front.reconfigure(PlatformSettings.read(moved.getBytes(StandardCharsets.UTF_8)));
+    bed.clock.run(1);
+    assertTrue(journal.ended);
+    assertEquals(List.of("tail 2"), bed.to(8600).news());
+  }
+
+  @Test
+  void nothingNewGoesToAnExchangePastItsGrace() {
+    bed.open();
+    bed.to(8500).feed(event(2, "s1", "terminating"));
+    bed.clock.run(251);
+    bed.caller().feed(Bed.setUp(7));
+    assertEquals(List.of(), bed.to(2).news());
+  }
+
+  @Test
+  void aNewSwitchAtTheSameAddressGetsItsOwnConnections() {
+    bed.open();
+    Bed.FakeWire old = bed.to(2);
+    bed.to(8500).feed(event(2, "s1", "terminated"));
+    bed.to(8500).feed(event(3, "s9", "in_service"));
+    assertTrue(old.ended);
+    assertNotSame(old, bed.to(2));
+    old.lose(Loss.CLOSED);
+    assertFalse(bed.to(2).ended);
+  }
+
+  @Test
+  void toldToEndItServesOnForAWhileAnswersAllAndIsDone() {
+    bed.open();
+    Bed.FakeWire caller = bed.caller();
+    caller.feed(Bed.setUp(6));
+    bed.to(2).feed(Bed.ready(6, "stands"));
+    bed.front.terminate();
+    bed.clock.run(600);
+    caller.feed(Bed.setUp(7));
+    bed.to(2).feed(Bed.ready(7, "answer"));
+    caller.feed(Bed.setUp(8));
+    assertEquals(List.of("9 6stands", "9 7answer"), caller.news());
+    bed.clock.run(600);
+    caller.feed(Bed.setUp(9));
+    caller.feed(test());
+    assertEquals(List.of("12 9 cause 42", "53 0 cause 0"), caller.news());
+    assertFalse(bed.front.ended());
+    bed.clock.run(1_000);
+    assertEquals(List.of("12 8 cause 34 wait 250"), caller.news());
+    assertTrue(bed.front.ended());
+    assertEquals(2, bed.front.controller().held());
+  }
+
+  @Test
+  void aConfigurationThatCannotBeUsedSaysWhereAndWhy() {
+    String good = new String(Bed.CONFIG, StandardCharsets.UTF_8);
+    for (String[] change :
+        new String[][] {
+          {"127.0.0.1:2905", "nowhere", "listen=nowhere, expected host:port"},
+          {"\"giveUp\":9000", "\"giveUp\":\"x\"", "giveUp=x"},
+          {"\"resolution\":5", "\"resolution\":0", "resolution=0"},
+          {"8c1f30d27a5be964", "seed", "seed=seed"}
+        }) {
+      byte[] changed = good.replace(change[0], change[1]).getBytes(StandardCharsets.UTF_8);
+      WireException e = assertThrows(WireException.class, () -> PlatformSettings.read(changed));
+      assertTrue(e.getMessage().contains(change[2]), e.getMessage());
+      assertFalse(e.getMessage().contains("\n"));
+    }
+    byte[] half = java.util.Arrays.copyOf(Bed.CONFIG, Bed.CONFIG.length / 2);
+    assertThrows(WireException.class, () -> PlatformSettings.read(half));
+  }
+}
--- /dev/null
+++ b/isupfront/src/test/java/coveladder/isupfront/Script.java
@@ -0,0 +1,75 @@
+package coveladder.isupfront;
+
+import coveladder.CallPolicy;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A policy that does what a test says: by default it sends each call to s1 and then refuses it. */
+class Script implements CallPolicy {
+  final List<String> events = new ArrayList<>();
+  final Actions actions;
+
+  Script(Actions actions) {
+    this.actions = actions;
+  }
+
+  List<String> news() {
+    List<String> news = List.copyOf(events);
+    events.clear();
+    return news;
+  }
+
+  private static long id(String call) {
+    return Long.parseLong(call, 16);
+  }
+
+  @Override
+  public void onStart(double now) {}
+
+  @Override
+  public void onList(double now, ListNews news) {
+    news.entries().forEach(e -> events.add("list " + e.id() + " " + e.state()));
+  }
+
+  @Override
+  public void onCall(double now, Call call) {
+    events.add("call " + id(call.id()) + " " + Math.round(call.patience()));
+    actions.send(call.id(), "s1", 1_000);
+  }
+
+  @Override
+  public void onStands(double now, Stands stands) {
+    events.add("stands " + id(stands.call()));
+  }
+
+  @Override
+  public void onEnded(double now, Ended ended) {
+    events.add(
+        "ended "
+            + id(ended.call())
+            + " "
+            + ended.outcome()
+            + " "
+            + ended.reason()
+            + (ended.last() ? " last" : ""));
+    if (!ended.last()) {
+      actions.refuse(ended.call(), 250);
+    }
+  }
+
+  @Override
+  public void onCallerLeft(double now, String call) {
+    events.add("left " + id(call));
+  }
+
+  @Override
+  public void onReport(double now, Report report) {
+    events.add("report " + report.exchange() + " " + report.load().free());
+  }
+
+  @Override
+  public void onTimer(double now, long label) {}
+
+  @Override
+  public void onPeer(double now, int from, byte[] payload) {}
+}
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.PriorityQueue;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -16,9 +17,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
   private static final int BATCH = 64;
   private static final double NANOS = 1e6;
+  private static final long STOOD_STILL = 100_000_000L;
+  private static final long READ_FIRST = 10_000_000L;
 
   private final long origin;
   private final ArrayBlockingQueue<Runnable> queue;
+  private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
   private final PriorityQueue<Due> timers = new PriorityQueue<>();
   private final AtomicLong dropped = new AtomicLong();
   private final Thread thread;
@@ -26,6 +30,8 @@
   private volatile boolean running = true;
   private long sequence;
   private long faults;
+  private long stood;
+  private long lastTurn = System.nanoTime();
 
   /** A timer that was set. */
   public interface Timer {
@@ -110,6 +116,21 @@
     }
   }
 
+  /**
+   * Hands a task over that goes before all others that wait. For the few that must be heard first;
+   * whoever asks bounds how many there are.
+   */
+  public void executeFirst(Runnable task) {
+    urgent.add(task);
+    execute(this::runUrgent);
+  }
+
+  private void runUrgent() {
+    for (Runnable task = urgent.poll(); task != null; task = urgent.poll()) {
+      guarded(task);
+    }
+  }
+
   /** Sets a timer, on the loop's thread or before it runs. */
   public Timer after(double delay, Runnable task) {
     Due due = new Due(now() + delay, sequence++, task);
@@ -132,6 +153,11 @@
     return queue.size();
   }
 
+  /** Times that the loop stood still for a tenth of a second or more, without its own doing. */
+  public long stood() {
+    return stood;
+  }
+
   /** Tasks that threw; each was logged and the loop went on. */
   public long faults() {
     return faults;
@@ -148,9 +174,13 @@
   }
 
   private void turn() throws InterruptedException {
-    Runnable task = queue.poll(untilNextTimer(), TimeUnit.NANOSECONDS);
+    long wait = untilNextTimer();
+    long before = System.nanoTime();
+    Runnable task = queue.poll(wait, TimeUnit.NANOSECONDS);
     standStill();
+    catchUp(before, wait);
     for (int i = 0; task != null && i < BATCH; i++) {
+      runUrgent();
       guarded(task);
       runTimers();
       task = i + 1 < BATCH ? queue.poll() : null;
@@ -166,6 +196,21 @@
     return Math.max(0, Math.min(50_000_000L, (long) ((next.time - now()) * NANOS)));
   }
 
+  /**
+   * Where this thread stood still, the selectors did as well, and what came meanwhile is still
+   * unread: they get a moment to read it, so that urgent news is heard before timers and tasks act
+   * on what was known before.
+   */
+  private void catchUp(long before, long wait) {
+    long late = Math.max(System.nanoTime() - before - wait, before - lastTurn);
+    if (late > STOOD_STILL) {
+      stood++;
+      LockSupport.parkNanos(READ_FIRST);
+    }
+    runUrgent();
+    lastTurn = System.nanoTime();
+  }
+
   private void standStill() {
     while (running && System.nanoTime() - pausedUntil < 0 && pausedUntil != Long.MIN_VALUE) {
       LockSupport.parkNanos(pausedUntil - System.nanoTime());
--- a/serve/src/main/java/coveladder/serve/SocketWires.java
+++ b/serve/src/main/java/coveladder/serve/SocketWires.java
@@ -86,12 +86,17 @@
     if (!unread.take(octets.length)) {
       return;
     }
-    loop.execute(
+    Runnable hear =
         () -> {
           unread.done(octets.length);
           if (streams.holds(stream)) {
             user(stream).received(octets, arrived);
           }
-        });
+        };
+    if (stream.user() instanceof WireUser known && known.urgent()) {
+      loop.executeFirst(hear);
+    } else {
+      loop.execute(hear);
+    }
   }
 }
