Releases go where calls stood, and those connections make no room for crowds

Both logs show 'caller links closed for room' by the thousand from then on, and no connection lost by callers before.

Cause: CallerCalls.longestIdle closed connections of usual callers between two calls, while the crowd's were newer; and ReleaseKeeper took the connection that was last tested on as one of real callers, though those who ask once and stay test too, so the releases of the closed ones went to them. Ruled out: releases not sent (none owed, switches' releases all read).

--- a/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
@@ -61,11 +61,11 @@
 
   // ---- Connections --------------------------------------------------------------------------
 
-  /** A caller connected. Where there are too many, the one longest silent makes room. */
+  /** A caller connected. Where there are too many, the one least used makes room. */
   WireUser accepted(Wire wire) {
     CallerLink link = new CallerLink(this, wire, limits.message(), clock.now());
     if (links.size() >= limits.callerLinks()) {
-      CallerLink idle = longestIdle();
+      CallerLink idle = leastUsed();
       (idle == null ? link : idle).close();
       counters.count("caller links closed for room");
     }
@@ -75,17 +75,26 @@
     return link;
   }
 
-  private CallerLink longestIdle() {
+  /**
+   * Of those without a call open the one that brought the fewest calls that stood, longest silent.
+   * Guards usual callers against crowds of connections that ask little and stay.
+   */
+  private CallerLink leastUsed() {
     CallerLink found = null;
     for (CallerLink link : links) {
-      boolean longer = found == null || link.silentFor(clock.now()) > found.silentFor(clock.now());
-      if (link.open().isEmpty() && longer) {
+      if (link.open().isEmpty() && (found == null || lessUsed(link, found))) {
         found = link;
       }
     }
     return found;
   }
 
+  private boolean lessUsed(CallerLink one, CallerLink other) {
+    double now = clock.now();
+    return one.stood() < other.stood()
+        || one.stood() == other.stood() && one.silentFor(now) > other.silentFor(now);
+  }
+
   /** Closes connections on which nothing came, or a message that does not end. */
   void sweep() {
     double now = clock.now();
@@ -133,7 +142,7 @@
   private void test(CallerLink link, CallerMessage message) {
     int passed = !ending && switches.known() ? 1 : 0;
     link.send(CallerMessage.withCause(CallerMessage.TESTED, message.call(), passed));
-    releases.usable(link);
+    link.nowProper();
   }
 
   private void setUp(CallerLink link, CallerMessage message, double arrived) {
@@ -197,7 +206,7 @@
       return;
     }
     calls.put(setUp.id(), new Held(setUp, link));
-    releases.usable(link);
+    releases.stands(link);
     controller.resume(setUp.call(0), 0, setUp.at());
   }
 
@@ -253,7 +262,7 @@
       with.put(CallerMessage.DESCRIPTION, held.description.getBytes(StandardCharsets.UTF_8));
       held.description = "";
       held.link.send(new CallerMessage(CallerMessage.ANSWER, id, with));
-      releases.usable(held.link);
+      releases.stands(held.link);
     } else {
       calls.remove(id);
       held.link.send(refusal(id, answer));
--- a/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
@@ -23,6 +23,7 @@
   private boolean proper;
   private boolean closed;
   private int unusable;
+  private int stood;
 
   CallerLink(CallerCalls calls, Wire wire, int most, double now) {
     this.calls = calls;
@@ -45,7 +46,7 @@
     return closed;
   }
 
-  /** Whether a message came on it that only a real caller sends. */
+  /** Whether it passed a test, or brought a call that stood. */
   boolean proper() {
     return proper;
   }
@@ -54,6 +55,17 @@
     proper = true;
   }
 
+  /** Calls that came on it and stood. */
+  int stood() {
+    return stood;
+  }
+
+  /** Counts a call that stands; how many there were. */
+  int countStood() {
+    proper = true;
+    return ++stood;
+  }
+
   /** Counts a message that cannot be used; how many there were. */
   int countUnusable() {
     return ++unusable;
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseKeeper.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseKeeper.java
@@ -2,10 +2,11 @@
 
 import coveladder.core.Clockwork;
 import coveladder.isup.CallerMessage;
-import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Releases toward callers: on the connection of the call, else on any that real callers use, else
@@ -18,7 +19,7 @@
   private static final int MOST_SURE = 256;
 
   private final Clockwork clock;
-  private final ArrayDeque<CallerLink> usual = new ArrayDeque<>();
+  private final Set<CallerLink> usual = new LinkedHashSet<>();
   private final Map<String, Sent> owed = new LinkedHashMap<>();
 
   /**
@@ -33,12 +34,17 @@
     this.clock = clock;
   }
 
-  /** A connection was used by a real caller: what is owed leaves on it. */
-  void usable(CallerLink link) {
-    if (!link.proper()) {
-      link.nowProper();
-      usual.addLast(link);
+  /**
+   * A call stands that came on a connection: real callers use it, and what is owed leaves on it.
+   */
+  void stands(CallerLink link) {
+    if (link.countStood() == 1) {
+      usual.add(link);
     }
+    sendOwed(link);
+  }
+
+  private void sendOwed(CallerLink link) {
     while (!owed.isEmpty() && !link.closed()) {
       Iterator<Map.Entry<String, Sent>> first = owed.entrySet().iterator();
       Map.Entry<String, Sent> next = first.next();
@@ -52,13 +58,13 @@
   /** A connection brought a set-up; where there is no better one, releases leave on it. */
   void firstUsable(CallerLink link) {
     if (usual.isEmpty()) {
-      usable(link);
+      sendOwed(link);
     }
   }
 
   /** Releases a call toward its caller. */
   void release(CallerLink own, String id, int cause) {
-    CallerLink link = own != null && !own.closed() ? own : usual.peekLast();
+    CallerLink link = own != null && !own.closed() ? own : best();
     if (link == null || !write(link, id, cause)) {
       owed.put(id, new Sent(cause, clock.now()));
       if (owed.size() > MOST_OWED) {
@@ -67,6 +73,18 @@
     }
   }
 
+  /**
+   * The connection that has brought the most calls that stood. Guards against releases sent to some
+   * client that only looks whether the controller lives, or asked once and stayed.
+   */
+  private CallerLink best() {
+    CallerLink best = null;
+    for (CallerLink link : usual) {
+      best = best == null || link.stood() >= best.stood() ? link : best;
+    }
+    return best;
+  }
+
   private boolean write(CallerLink link, String id, int cause) {
     forgetSure(link);
     boolean sent = link.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import coveladder.isup.CallerCodec;
 import coveladder.isup.CallerMessage;
 import coveladder.isupfront.Wires.Loss;
 import java.util.Arrays;
@@ -142,6 +143,17 @@
     assertFalse(caller.ended);
   }
 
+  @Test
+  void aConnectionWhoseCallsStoodIsNotTheOneThatMakesRoom() {
+    caller.feed(Bed.setUp(7));
+    bed.to(2).feed(Bed.ready(7, "answer"));
+    for (int i = 0; i < 20; i++) {
+      bed.clock.run(10);
+      bed.caller().feed(CallerCodec.encode(CallerMessage.withCause(52, Bed.id(0), 0)));
+    }
+    assertFalse(caller.ended);
+  }
+
   @Test
   void hundredsAtOnceAndTakenBackAtOnceLeaveNothing() {
     for (int i = 1; i <= 300; i++) {
