Calls to the own exchange go to the module; told to end, serving goes on for two seconds

IsupFront.canBeCalled left out the own number.

Also: controllers ended 1.05 s after SIGTERM, while 28 and 77 set-ups in transit still came to two that were kept for 3.2 s, and they are started again no sooner (4.0 to 4.7 s after SIGTERM in all logs). Set-ups are taken for 2 s, all are answered by 3 s, the end is at 3.2 s; tests fail from the start.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
@@ -28,6 +28,7 @@
   private final Set<CallerLink> links = new LinkedHashSet<>();
   private final Map<String, Held> calls = new HashMap<>();
   private int open;
+  private boolean failing;
   private boolean ending;
 
   /** A call of a caller that has its final answer to come, or stands. */
@@ -140,7 +141,7 @@
   }
 
   private void test(CallerLink link, CallerMessage message) {
-    int passed = !ending && switches.known() ? 1 : 0;
+    int passed = !failing && switches.known() ? 1 : 0;
     link.send(CallerMessage.withCause(CallerMessage.TESTED, message.call(), passed));
     link.nowProper();
   }
@@ -167,6 +168,9 @@
   }
 
   private void take(CallerLink link, SetUp setUp, double arrived) {
+    if (failing) {
+      counters.count(setUp.transit() ? "late set-ups in transit" : "late set-ups of callers");
+    }
     calls.put(setUp.id(), new Held(setUp, link));
     link.open().add(setUp.id());
     open++;
@@ -291,6 +295,11 @@
     calls.remove(id);
   }
 
+  /** Tests fail from now on, so that new calls go elsewhere; those that come are served. */
+  void failTests() {
+    failing = true;
+  }
+
   /** Takes no new set-ups from now on; each is refused at once. */
   void end() {
     ending = true;
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -20,11 +20,17 @@
 public final class IsupFront implements Signalling {
   private static final double SWEEP = 100;
 
-  /** Connections and requests still come for so long after the word to end, ms. */
-  private static final double STILL_COMING = 1_000;
+  /**
+   * Set-ups are taken for so long after the word to end, ms: callers' come for some tenths of a
+   * second, those in transit for as long as the process runs.
+   */
+  private static final double STILL_TAKEN = 2_000;
 
   /** By then every call has its answer, ms after the word to end. */
-  private static final double ANSWERED_BY = 3_100;
+  private static final double ANSWERED_BY = 3_000;
+
+  /** Until then calls that end are released toward their callers, ms after the word to end. */
+  private static final double GONE_BY = 3_200;
 
   private final PlatformSettings settings;
   private final Clockwork clock;
@@ -63,14 +69,13 @@
   }
 
   /**
-   * Whether a number can be of another exchange. The list lacks one that has not come up yet or has
-   * gone, and a controller that starts meanwhile never heard of it: where calls to it go then is
-   * the policy's matter. Guards the core against numbers that are made up.
+   * Whether a number can be of an exchange. The own one is among them: while another controller is
+   * away, its callers come here, also with calls to this exchange, and where those go is the
+   * policy's matter. So are calls to one that the list lacks. Guards the core against numbers that
+   * are made up.
    */
   private boolean canBeCalled(int number) {
-    return number != settings.policy().self()
-        && (number >= 0 && number < settings.policy().instances()
-            || controller.list().knows(number));
+    return number >= 0 && number < settings.policy().instances() || controller.list().knows(number);
   }
 
   /** Hears which calls are over. */
@@ -110,12 +115,13 @@
   public void terminate() {
     if (Double.isNaN(endsSince)) {
       endsSince = clock.now();
+      callers.failTests();
     }
   }
 
   private void end() {
     double since = clock.now() - endsSince;
-    if (since >= STILL_COMING) {
+    if (since >= STILL_TAKEN) {
       callers.end();
     }
     if (since >= ANSWERED_BY) {
@@ -125,7 +131,7 @@
 
   /** Whether it was told to end and every call has its answer. */
   public boolean ended() {
-    return clock.now() - endsSince > STILL_COMING && callers.open() == 0;
+    return clock.now() - endsSince > GONE_BY && callers.open() == 0;
   }
 
   /** What was counted. */
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -90,7 +90,6 @@
     LOG.info(
         "{} serves at {}:{}", settings.name(), settings.listen().host(), settings.listen().port());
     ended.await();
-    loop.execute(this::tell);
     loop.close();
   }
 
@@ -102,6 +101,7 @@
 
   private void awaitEnd() {
     if (front.ended()) {
+      LOG.info("ends; {}; {}", front.state(), front.counters().news());
       ended.countDown();
     } else {
       loop.after(20, this::awaitEnd);
