Draining switches keep their calls; class archive halves the start; bound on all that waits

Cause: SwitchLink.DOWN_AFTER (1 s of connections turned away); a draining switch takes no connections while its calls stand on. Ruled out: later starts ('started again' 0), the list (each switch stood on it as terminating).

What waits to be written is bounded on all connections together.

--- a/isupfront/src/main/java/coveladder/isupfront/Limits.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Limits.java
@@ -30,6 +30,6 @@
   public static Limits within(int descriptors, int switches) {
     int links = 3;
     int callers = Math.max(16, descriptors - KEPT - links * (switches + 4));
-    return new Limits(16_384, callers, 20_000, 50_000, 2_000, 20, links, 300, 6_000);
+    return new Limits(16_384, callers, 3_000, 12_000, 2_000, 20, links, 300, 6_000);
   }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -1,5 +1,6 @@
 package coveladder.isupfront;
 
+import coveladder.CallPolicy;
 import coveladder.CallPolicy.Load;
 import coveladder.CallPolicy.Outcome;
 import coveladder.CallPolicy.Reason;
@@ -25,7 +26,16 @@
   private static final double AGAIN_AFTER = 50;
   private static final double AGAIN_TURNED_AWAY = 250;
   private static final double CHECK_AFTER = 1_500;
-  private static final double DOWN_AFTER = 1_000;
+
+  /**
+   * A switch in service that turns connections away for so long is down, ms: the list says so
+   * sooner, as a rule, and callers must hear within 8 s of the end.
+   */
+  private static final double DOWN_AFTER = 6_000;
+
+  /** One that drains turns connections away while its calls stand on, until it stops, ms. */
+  private static final double DRAINED_AFTER = 10_000;
+
   private static final int MOST_GIVEN_UP = 2_048;
   private static final String NOTHING = "0000000000000000";
 
@@ -203,11 +213,18 @@
     if (waits && now - heard > CHECK_AFTER && !making && !connectingAgain) {
       check();
     }
-    if (now - turnedAwaySince > DOWN_AFTER || now - heard > links.limits().unheard()) {
+    boolean drains = entry.state() != CallPolicy.State.IN_SERVICE;
+    double down = drains ? DRAINED_AFTER : DOWN_AFTER;
+    if (now - turnedAwaySince > down || silent(now)) {
       gone("cannot be reached");
     }
   }
 
+  /** Whether nothing came for long, nor a word that turned a connection away. */
+  private boolean silent(double now) {
+    return Double.isNaN(turnedAwaySince) && now - heard > links.limits().unheard();
+  }
+
   private void check() {
     SwitchWire oldest = wires.isEmpty() ? null : wires.get(0);
     if (wires.size() >= links.limits().switchLinks()) {
--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -16,9 +16,12 @@
 
 /** One stream connection, being made or open, with what waits to be written to it. */
 public final class Stream {
+  private static final long TOGETHER = 8;
+
   private final InetSocketAddress remote;
   private final boolean own;
   private final int most;
+  private final AtomicLong total;
   private final ArrayDeque<byte[]> early = new ArrayDeque<>();
   private final AtomicLong waiting = new AtomicLong();
   private Connection<SocketAddress> connection;
@@ -29,12 +32,14 @@
    * Makes a stream.
    *
    * @param own whether this node connects it
-   * @param most most octets that wait to be written
+   * @param most most octets that wait to be written; eight times as much on all streams together
+   * @param total octets that wait on all streams of the node
    */
-  Stream(InetSocketAddress remote, boolean own, int most) {
+  Stream(InetSocketAddress remote, boolean own, int most, AtomicLong total) {
     this.remote = remote;
     this.own = own;
     this.most = most;
+    this.total = total;
   }
 
   /** The other end. */
@@ -76,7 +81,9 @@
 
   /** Sends octets, or keeps them until the connection is made; false where too much waits. */
   public boolean send(byte[] octets) {
-    if (waiting.addAndGet(octets.length) > most) {
+    long own = waiting.addAndGet(octets.length);
+    long all = total.addAndGet(octets.length);
+    if (own > most || all > TOGETHER * most && own > octets.length) {
       return false;
     }
     if (connection == null) {
@@ -94,13 +101,29 @@
         new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
           @Override
           public void completed(WriteResult<Buffer, SocketAddress> result) {
-            if (waiting.addAndGet(-octets.length) == 0 && closing) {
-              close();
-            }
+            left(octets.length);
+          }
+
+          @Override
+          public void failed(Throwable cause) {
+            left(octets.length);
+          }
+
+          @Override
+          public void cancelled() {
+            left(octets.length);
           }
         });
   }
 
+  /** Octets wait no more, written or not. */
+  private void left(int length) {
+    total.addAndGet(-length);
+    if (waiting.addAndGet(-length) == 0 && closing) {
+      close();
+    }
+  }
+
   /** Octets that wait to be written. */
   public long waiting() {
     return waiting.get();
@@ -114,6 +137,13 @@
     }
   }
 
+  /** It is held no more: what waited for it to be made never leaves. */
+  void forget() {
+    while (!early.isEmpty()) {
+      left(early.poll().length);
+    }
+  }
+
   void close() {
     if (connection != null) {
       connection.terminateSilently();
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -37,6 +38,7 @@
   private final Set<Stream> held = new LinkedHashSet<>();
   private final Map<Connection<SocketAddress>, Stream> byConnection = new IdentityHashMap<>();
   private final AtomicInteger taken = new AtomicInteger();
+  private final AtomicLong waiting = new AtomicLong();
   private Connection<SocketAddress> listening;
 
   /**
@@ -44,7 +46,7 @@
    *
    * @param connections most connections in all
    * @param accepted most connections taken from others; one more is closed as it comes
-   * @param waitingBytes most octets that wait to be written to one
+   * @param waitingBytes most octets that wait to be written to one; eight times as much to all
    * @param connectWithin time for a connection to be made, ms
    */
   public record Bounds(int connections, int accepted, int waitingBytes, double connectWithin) {}
@@ -120,7 +122,7 @@
 
   /** Begins to connect; what comes of it is told later, also where there is no room. */
   public Stream connect(InetSocketAddress to) {
-    Stream stream = new Stream(to, true, bounds.waitingBytes());
+    Stream stream = new Stream(to, true, bounds.waitingBytes(), waiting);
     held.add(stream);
     if (held.size() > bounds.connections() || to.isUnresolved()) {
       loop.after(0, () -> drop(stream, Loss.NOT_MADE));
@@ -159,6 +161,7 @@
     if (stream.open()) {
       byConnection.remove(stream.connection());
     }
+    stream.forget();
     return held.remove(stream);
   }
 
@@ -231,7 +234,7 @@
         return context.getInvokeAction();
       }
       InetSocketAddress from = (InetSocketAddress) connection.getPeerAddress();
-      Stream stream = new Stream(from, false, bounds.waitingBytes());
+      Stream stream = new Stream(from, false, bounds.waitingBytes(), waiting);
       STREAM.set(connection, stream);
       user.taken(stream);
       loop.execute(() -> accepted(stream, connection));
--- /dev/null
+++ b/serve/src/main/java/coveladder/serve/ClassArchive.java
@@ -0,0 +1,51 @@
+package coveladder.serve;
+
+import coveladder.isup.MalformedException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Run by the build: lets a controller take some calls and end, with the virtual machine told to
+ * keep the classes that it loaded in an archive (JEP 350), from which later starts are quicker.
+ */
+final class ClassArchive {
+  private static final int CALLS = 50;
+
+  private ClassArchive() {}
+
+  /** Trains with a jar and writes an archive, both named from the folder it is run in. */
+  public static void main(String[] arguments) throws Exception {
+    String jar = arguments[0];
+    String archive = arguments[1];
+    Files.deleteIfExists(Path.of(archive));
+    Path folder = Files.createTempDirectory("class-archive");
+    try {
+      train(folder, jar, archive);
+    } catch (IOException | MalformedException e) {
+      System.err.println("no class archive, starts will be slower: " + e.getMessage());
+    } finally {
+      Files.deleteIfExists(folder.resolve("config.json"));
+      Files.deleteIfExists(folder);
+    }
+  }
+
+  private static void train(Path folder, String jar, String archive)
+      throws IOException, MalformedException, InterruptedException {
+    List<String> options =
+        List.of("-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive, "-jar", jar, "serve");
+    try (LoopbackPlatform platform =
+        new LoopbackPlatform(folder, LoopbackPlatform.command(options))) {
+      for (int i = 1; i <= CALLS; i++) {
+        String id = String.format("%016x", i);
+        platform.setUp(id);
+        platform.answer(id, "made");
+        platform.close(id, 16);
+      }
+      platform.process().destroy();
+      platform.process().waitFor(30, TimeUnit.SECONDS);
+    }
+  }
+}
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -23,7 +23,7 @@
 public final class Serve {
   private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
   private static final int QUEUE = 8_192;
-  private static final int WAITING = 1 << 20;
+  private static final int WAITING = 1 << 19;
   private static final double CONNECT_WITHIN = 500;
   private static final double TELL_EVERY = 5_000;
   private static final int USABLE_TRIES = 20;
