--- a/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
@@ -196,6 +196,7 @@
    */
   private void twice(CallerLink link, String id) {
     counters.count("set-ups under an id that is held");
+    link.refuseHeld(id);
     unusable(link, id);
   }
 
@@ -220,7 +221,13 @@
     link.send(new CallerMessage(CallerMessage.RELEASE_HEARD, id, Map.of()));
     if (link.open().contains(id)) {
       takenBack(id);
+    } else if (link.wasHeld(id)) {
+      counters.count("releases under an id that was another's");
     } else {
+      Held held = calls.get(id);
+      if (held != null && held.link != link && !held.link.closed()) {
+        counters.count("calls ended from another connection than theirs, which is open");
+      }
       controller.callerReleased(id);
     }
   }
--- a/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
@@ -14,10 +14,13 @@
 
 /** One connection of callers. */
 final class CallerLink implements WireUser {
+  private static final int MOST_REFUSED = 64;
+
   private final CallerCalls calls;
   private final Wire wire;
   private final CallerFramer framer;
   private final Set<String> open = new LinkedHashSet<>();
+  private final Set<String> refusedAsHeld = new LinkedHashSet<>();
   private final Map<String, ReleaseKeeper.Sent> released = new LinkedHashMap<>();
   private double lastWhole;
   private boolean proper;
@@ -66,6 +69,21 @@
     return ++stood;
   }
 
+  /**
+   * Keeps an id that was refused here as another's: what this one sends under it later is not about
+   * that call. Guards a standing call against one who takes back a set-up that was refused.
+   */
+  void refuseHeld(String id) {
+    refusedAsHeld.add(id);
+    if (refusedAsHeld.size() > MOST_REFUSED) {
+      refusedAsHeld.remove(refusedAsHeld.iterator().next());
+    }
+  }
+
+  boolean wasHeld(String id) {
+    return refusedAsHeld.contains(id);
+  }
+
   /** Counts a message that cannot be used; how many there were. */
   int countUnusable() {
     return ++unusable;
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -153,6 +153,9 @@
     if (loss == Loss.TURNED_AWAY && Double.isNaN(turnedAwaySince)) {
       turnedAwaySince = links.now();
     }
+    if (loss == Loss.CLOSED) {
+      links.counters().count("switch connections lost");
+    }
     over(wire, loss == Loss.CLOSED);
     connectAgain(loss == Loss.CLOSED ? AGAIN_AFTER : AGAIN_TURNED_AWAY);
   }
@@ -166,18 +169,28 @@
     }
   }
 
+  /**
+   * Another connection takes the place of one that ended, also where others are open: a release
+   * that was on the ended one comes again on the next one made, and nowhere else.
+   */
   private void connectAgain(double after) {
-    if (followed && wires.isEmpty() && !connectingAgain) {
-      connectingAgain = true;
-      links.after(
-          after,
-          () -> {
-            connectingAgain = false;
-            if (followed && wires.isEmpty()) {
-              connect();
-            }
-          });
+    if (connectingAgain || !wantsAnother()) {
+      return;
     }
+    connectingAgain = true;
+    links.after(
+        after,
+        () -> {
+          connectingAgain = false;
+          if (wantsAnother()) {
+            connect();
+          }
+        });
+  }
+
+  private boolean wantsAnother() {
+    boolean room = wires.size() < links.limits().switchLinks();
+    return followed && (wires.isEmpty() || room && !standing.isEmpty());
   }
 
   /** What came cannot be read: the connection is of no further use, for any of its set-ups. */
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -108,6 +108,18 @@
     assertEquals(List.of("9 7answer"), usual.news());
   }
 
+  @Test
+  void anotherCallersStandingCallIsNotEndedByOneWhoWasRefusedUnderItsId() {
+    Bed.FakeWire usual = bed.caller();
+    usual.feed(Bed.setUp(7));
+    caller.feed(Bed.setUp(7, CallerMessage.DESCRIPTION, "another"));
+    bed.to(2).feed(Bed.ready(7, "answer"));
+    caller.feed(Bed.release(7));
+    assertEquals(List.of("9 7answer"), usual.news());
+    bed.to(2).feed(Bed.close(7, 16, ""));
+    assertEquals(List.of("12 7 cause 16"), usual.news());
+  }
+
   @Test
   void oneWhoGoesOnSendingWhatCannotBeUsedIsLetGo() {
     for (int i = 0; i < 3; i++) {
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -219,6 +219,25 @@
     assertEquals(List.of("12 7 cause 16"), other.news());
   }
 
+  @Test
+  void aConnectionThatEndsIsReplacedWhereOthersAreOpenForTheReleasesThatWereOnIt() {
+    Bed.FakeWire first = bed.to(2);
+    standing(7);
+    caller.feed(Bed.setUp(8));
+    caller.feed(Bed.setUp(9));
+    Bed.FakeWire second = bed.to(2);
+    second.open();
+    assertNotSame(first, second);
+    first.feed("noise");
+    bed.clock.run(1);
+    Bed.FakeWire third = bed.to(2);
+    assertNotSame(second, third);
+    third.open();
+    caller.news();
+    third.feed(Bed.close(7, 16, ""));
+    assertEquals(List.of("12 7 cause 16"), caller.news());
+  }
+
   @Test
   void callsThatStandAlreadyAreTakenUpAndReleased() {
     caller.feed(Bed.setUp(7, CallerMessage.FIGURES, "dest:1;width:1;via:-1;at:s1"));
