--- a/core/src/test/java/coveladder/core/CallControllerTest.java
+++ b/core/src/test/java/coveladder/core/CallControllerTest.java
@@ -13,7 +13,6 @@
 import coveladder.CallPolicy.State;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -21,51 +20,12 @@
 class CallControllerTest {
   private final List<String> events = new ArrayList<>();
   private final List<String> wire = new ArrayList<>();
-  private final FakeClock clock = new FakeClock();
+  private final VirtualClock clock = new VirtualClock(0);
   private CallPolicy.Actions actions;
   private AttemptGuard guard;
   private CallController controller;
   private boolean refuseAtOnce;
 
-  /** Virtual time. */
-  private static final class FakeClock implements Clockwork {
-    private final PriorityQueue<Due> queue = new PriorityQueue<>();
-    private double now;
-    private long order;
-
-    private record Due(double at, long order, Runnable[] task) implements Comparable<Due> {
-      @Override
-      public int compareTo(Due other) {
-        int byTime = Double.compare(at, other.at);
-        return byTime != 0 ? byTime : Long.compare(order, other.order);
-      }
-    }
-
-    @Override
-    public double now() {
-      return now;
-    }
-
-    @Override
-    public Stop after(double delay, Runnable task) {
-      Runnable[] held = {task};
-      queue.add(new Due(now + delay, order++, held));
-      return () -> held[0] = null;
-    }
-
-    void run(double lasts) {
-      double end = now + lasts;
-      while (!queue.isEmpty() && queue.peek().at() <= end) {
-        Due due = queue.poll();
-        now = due.at();
-        if (due.task()[0] != null) {
-          due.task()[0].run();
-        }
-      }
-      now = end;
-    }
-  }
-
   /** Writes down what the core asks for. */
   private final class Wire implements Signalling {
     @Override
--- a/isupfront/src/test/java/coveladder/isupfront/Bed.java
+++ b/isupfront/src/test/java/coveladder/isupfront/Bed.java
@@ -1,7 +1,7 @@
 package coveladder.isupfront;
 
 import coveladder.CallPolicy;
-import coveladder.core.Clockwork;
+import coveladder.core.VirtualClock;
 import coveladder.isup.CallerCodec;
 import coveladder.isup.CallerFramer;
 import coveladder.isup.CallerMessage;
@@ -14,7 +14,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.function.Function;
 
 /** A front in virtual time, with wires that the test holds at their other ends. */
@@ -38,7 +37,7 @@
       """
           .getBytes(StandardCharsets.UTF_8);
 
-  final Clock clock = new Clock();
+  final VirtualClock clock = new VirtualClock(1e12);
   final List<FakeWire> connected = new ArrayList<>();
   final PlatformSettings settings = PlatformSettings.read(CONFIG);
   final IsupFront front;
@@ -52,54 +51,6 @@
     front.start();
   }
 
-  /** Virtual time. */
-  static final class Clock implements Clockwork {
-    private final PriorityQueue<Due> queue = new PriorityQueue<>();
-    private double now = 1e12;
-    private long order;
-
-    private record Due(double at, long order, Runnable[] task) implements Comparable<Due> {
-      @Override
-      public int compareTo(Due other) {
-        int byTime = Double.compare(at, other.at);
-        return byTime != 0 ? byTime : Long.compare(order, other.order);
-      }
-    }
-
-    @Override
-    public double now() {
-      return now;
-    }
-
-    @Override
-    public Stop after(double delay, Runnable task) {
-      Runnable[] held = {task};
-      queue.add(new Due(now + delay, order++, held));
-      return () -> held[0] = null;
-    }
-
-    void run(double lasts) {
-      double end = now + lasts;
-      while (!queue.isEmpty() && queue.peek().at() <= end) {
-        Due due = queue.poll();
-        now = due.at();
-        if (due.task()[0] != null) {
-          due.task()[0].run();
-        }
-      }
-      now = end;
-    }
-
-    /** Stands still for so long: nothing runs meanwhile. */
-    void freeze(double lasts) {
-      now += lasts;
-    }
-
-    int waiting() {
-      return queue.size();
-    }
-  }
-
   /** One wire, seen from its other end. */
   final class FakeWire implements Wire {
     final int port;
