Front and net read again: twins joined, unused pieces gone

Bounded sets of ids were written twice (RecentIds serves both), the check that throws MalformedException twice (one expect), reading a Grizzly buffer twice (Sockets.octets), the close line to a switch four times (SwitchWire.end), two looks over the wires twice each. A switch's address was cut up at every connection, beside Address.of; it is read once, by that. SocketNode stamped messages anew though Streams had stamped their octets. The widest class was sought for every set-up. Never called: CallerCalls.held and closeAll, ReleaseKeeper.owed, SwitchLinks.calls, Stream.waiting, EventLoop.stood.

Behaviour stays but for one thing: an address in the list whose port is out of range is told as a line that cannot be read, where it was a fault in the loop.

--- a/isup/src/main/java/coveladder/isup/JournalLine.java
+++ b/isup/src/main/java/coveladder/isup/JournalLine.java
@@ -69,7 +69,7 @@
   private static Entry entry(String path, Map<String, String> values) throws MalformedException {
     String address = text(values, path + "hostPort");
     int colon = address.lastIndexOf(':');
-    Json.expect(colon > 0, path + "hostPort is no address");
+    MalformedException.expect(colon > 0, path + "hostPort is no address");
     String started = values.getOrDefault(path + "startedAtMs", "0");
     return new Entry(
         text(values, path + "instanceId"),
@@ -82,7 +82,7 @@
 
   private static String text(Map<String, String> values, String path) throws MalformedException {
     String value = values.get(path);
-    Json.expect(value != null, path + " is missing");
+    MalformedException.expect(value != null, path + " is missing");
     return value;
   }
 
--- a/isup/src/main/java/coveladder/isup/Json.java
+++ b/isup/src/main/java/coveladder/isup/Json.java
@@ -34,21 +34,15 @@
   public static Map<String, String> paths(byte[] document) throws MalformedException {
     Map<String, String> values = new LinkedHashMap<>();
     try (JsonParser parser = FACTORY.createParser(document)) {
-      expect(parser.nextToken() == JsonToken.START_OBJECT, "no object");
+      MalformedException.expect(parser.nextToken() == JsonToken.START_OBJECT, "no object");
       object(parser, "", values);
-      expect(parser.nextToken() == null, "more than one object");
+      MalformedException.expect(parser.nextToken() == null, "more than one object");
       return values;
     } catch (IOException e) {
       throw malformed(e);
     }
   }
 
-  static void expect(boolean so, String found) throws MalformedException {
-    if (!so) {
-      throw new MalformedException(found);
-    }
-  }
-
   static MalformedException malformed(IOException e) {
     String message = String.valueOf(e.getMessage());
     int end = message.indexOf('\n');
--- a/isup/src/main/java/coveladder/isup/MalformedException.java
+++ b/isup/src/main/java/coveladder/isup/MalformedException.java
@@ -8,4 +8,11 @@
   public MalformedException(String found) {
     super(found, null, false, false);
   }
+
+  /** Says what was found, unless it is as it should be. */
+  public static void expect(boolean so, String found) throws MalformedException {
+    if (!so) {
+      throw new MalformedException(found);
+    }
+  }
 }
--- a/isup/src/main/java/coveladder/isup/SwitchCodec.java
+++ b/isup/src/main/java/coveladder/isup/SwitchCodec.java
@@ -22,9 +22,9 @@
    */
   public static SwitchMessage decode(byte[] line) throws MalformedException {
     try (JsonParser parser = Json.FACTORY.createParser(line)) {
-      Json.expect(parser.nextToken() == JsonToken.START_OBJECT, "no object");
+      MalformedException.expect(parser.nextToken() == JsonToken.START_OBJECT, "no object");
       SwitchMessage message = read(parser);
-      Json.expect(parser.nextToken() == null, "more than one object in a line");
+      MalformedException.expect(parser.nextToken() == null, "more than one object in a line");
       return message;
     } catch (IOException e) {
       throw Json.malformed(e);
@@ -45,18 +45,18 @@
         case "sid" -> sid = parser.getText();
         case "attrs" -> attrs = attrs(parser);
         case "code" -> {
-          Json.expect(token == JsonToken.VALUE_NUMBER_INT, "code is no whole number");
+          MalformedException.expect(token == JsonToken.VALUE_NUMBER_INT, "code is no whole number");
           code = parser.getIntValue();
         }
         case "text" -> {
-          Json.expect(token == JsonToken.VALUE_STRING, "text is no string");
+          MalformedException.expect(token == JsonToken.VALUE_STRING, "text is no string");
           text = parser.getText();
-          Json.expect(whole(text), "text has half a character");
+          MalformedException.expect(whole(text), "text has half a character");
         }
         default -> parser.skipChildren();
       }
     }
-    Json.expect(kind != null, "no msg");
+    MalformedException.expect(kind != null, "no msg");
     return new SwitchMessage(kind, sid, attrs, code, text);
   }
 
@@ -76,12 +76,13 @@
 
   private static Map<String, String> attrs(JsonParser parser)
       throws IOException, MalformedException {
-    Json.expect(parser.currentToken() == JsonToken.START_OBJECT, "attrs is no object");
+    MalformedException.expect(
+        parser.currentToken() == JsonToken.START_OBJECT, "attrs is no object");
     Map<String, String> attrs = new HashMap<>();
     while (parser.nextToken() != JsonToken.END_OBJECT) {
       String name = parser.currentName();
       JsonToken token = parser.nextToken();
-      Json.expect(token.isScalarValue(), "attrs holds more than strings and numbers");
+      MalformedException.expect(token.isScalarValue(), "attrs holds more than strings and numbers");
       attrs.put(name, parser.getText());
     }
     return attrs;
--- a/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerCalls.java
@@ -316,14 +316,4 @@
   int open() {
     return open;
   }
-
-  /** Calls held, those that stand included. */
-  int held() {
-    return calls.size();
-  }
-
-  /** Closes all connections, once what waits on them has left. */
-  void closeAll() {
-    new ArrayList<>(links).forEach(CallerLink::close);
-  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerLink.java
@@ -20,7 +20,7 @@
   private final Wire wire;
   private final CallerFramer framer;
   private final Set<String> open = new LinkedHashSet<>();
-  private final Set<String> refusedAsHeld = new LinkedHashSet<>();
+  private final RecentIds refusedAsHeld = new RecentIds(MOST_REFUSED);
   private final Map<String, ReleaseKeeper.Sent> released = new LinkedHashMap<>();
   private double lastWhole;
   private boolean proper;
@@ -75,9 +75,6 @@
    */
   void refuseHeld(String id) {
     refusedAsHeld.add(id);
-    if (refusedAsHeld.size() > MOST_REFUSED) {
-      refusedAsHeld.remove(refusedAsHeld.iterator().next());
-    }
   }
 
   boolean wasHeld(String id) {
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseKeeper.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseKeeper.java
@@ -116,9 +116,4 @@
     link.released().forEach((id, sent) -> release(null, id, sent.cause()));
     link.released().clear();
   }
-
-  /** Releases that wait for a connection. */
-  int owed() {
-    return owed.size();
-  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/SetUp.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SetUp.java
@@ -48,6 +48,7 @@
     private final List<String> names;
     private final List<CallClass> kinds;
     private final IntPredicate exchange;
+    private final int widest;
 
     /**
      * Makes a reader.
@@ -58,6 +59,7 @@
       this.names = names;
       this.kinds = kinds;
       this.exchange = exchange;
+      this.widest = kinds.stream().mapToInt(CallClass::width).max().orElse(1);
     }
 
     /**
@@ -66,12 +68,13 @@
      * @throws MalformedException naming what cannot be used
      */
     SetUp read(CallerMessage message) throws MalformedException {
-      expect(!message.call().equals("0000000000000000"), "no id");
+      MalformedException.expect(!message.call().equals("0000000000000000"), "no id");
       String name = message.text(CallerMessage.CLASS);
       int type = names.indexOf(name);
-      expect(type >= 0, "unknown class");
+      MalformedException.expect(type >= 0, "unknown class");
       String number = message.text(CallerMessage.NUMBER);
-      expect(number.length() <= LONGEST_WORD, "a number of " + number.length() + " characters");
+      MalformedException.expect(
+          number.length() <= LONGEST_WORD, "a number of " + number.length() + " characters");
       Map<String, String> figures = figures(message.text(CallerMessage.FIGURES));
       CallClass kind = kinds.get(type);
       String at = figures.getOrDefault("at", "");
@@ -94,10 +97,10 @@
     }
 
     private void check(SetUp setUp) throws MalformedException {
-      int widest = kinds.stream().mapToInt(CallClass::width).max().orElse(1);
-      expect(setUp.width >= 1 && setUp.width <= widest, "width out of range");
+      MalformedException.expect(setUp.width >= 1 && setUp.width <= widest, "width out of range");
       boolean stands = !setUp.at.isEmpty();
-      expect(stands || exchange.test(setUp.destination), "dest is no exchange to call");
+      MalformedException.expect(
+          stands || exchange.test(setUp.destination), "dest is no exchange to call");
     }
 
     private static double left(String text, CallClass kind, boolean stands)
@@ -107,7 +110,8 @@
       }
       try {
         double left = Double.parseDouble(text);
-        expect(left > 0 && left <= LONGEST_WAIT * kind.giveUp(), "time left out of range");
+        MalformedException.expect(
+            left > 0 && left <= LONGEST_WAIT * kind.giveUp(), "time left out of range");
         return left;
       } catch (NumberFormatException e) {
         throw new MalformedException("time left is no number");
@@ -118,8 +122,8 @@
       Map<String, String> figures = new HashMap<>();
       for (String figure : text.isEmpty() ? new String[0] : text.split(";")) {
         int colon = figure.indexOf(':');
-        expect(colon > 0, "a figure without a value");
-        expect(
+        MalformedException.expect(colon > 0, "a figure without a value");
+        MalformedException.expect(
             figures.put(figure.substring(0, colon), figure.substring(colon + 1)) == null,
             "a figure stands twice");
       }
@@ -137,12 +141,6 @@
         throw new MalformedException(name + " is no whole number");
       }
     }
-
-    private static void expect(boolean so, String found) throws MalformedException {
-      if (!so) {
-        throw new MalformedException(found);
-      }
-    }
   }
 
   /** The call as the policy is told, with what is left of the caller's patience, ms. */
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -6,7 +6,6 @@
 import coveladder.CallPolicy.Reason;
 import coveladder.core.AttemptOrder;
 import coveladder.core.ExchangeList;
-import coveladder.isup.Cause;
 import coveladder.isup.SwitchMessage;
 import coveladder.isupfront.Wires.Loss;
 import coveladder.wire.ReportReader;
@@ -39,12 +38,13 @@
   private static final int MOST_GIVEN_UP = 2_048;
   private static final String NOTHING = "0000000000000000";
 
-  private ExchangeList.Entry entry;
   private final SwitchLinks links;
+  private final PlatformSettings.Address address;
   private final List<SwitchWire> wires = new ArrayList<>();
   private final Map<String, Standing> standing = new LinkedHashMap<>();
-  private final Set<String> givenUp = new LinkedHashSet<>();
+  private final RecentIds givenUp = new RecentIds(MOST_GIVEN_UP);
   private final Set<String> toRelease = new LinkedHashSet<>();
+  private ExchangeList.Entry entry;
   private boolean stateKnown;
   private boolean followed = true;
   private double heard;
@@ -76,6 +76,7 @@
   SwitchLink(ExchangeList.Entry entry, SwitchLinks links) {
     this.entry = entry;
     this.links = links;
+    this.address = PlatformSettings.Address.of("address", entry.address());
     this.heard = links.now();
     connect();
   }
@@ -105,11 +106,8 @@
 
   private SwitchWire connect() {
     SwitchWire wire = new SwitchWire(this, links.limits().message(), links.now());
-    int colon = entry.address().lastIndexOf(':');
-    String host = entry.address().substring(0, colon);
-    int port = Integer.parseInt(entry.address().substring(colon + 1));
     wires.add(wire);
-    wire.connecting(links.wires().connect(host, port, wire));
+    wire.connecting(links.wires().connect(address.host(), address.port(), wire));
     return wire;
   }
 
@@ -123,14 +121,23 @@
       }
     }
     boolean room = wires.size() < links.limits().switchLinks();
-    boolean making = wires.stream().anyMatch(wire -> !wire.isOpen());
-    if (room && !making && (best == null || !best.outs().isEmpty())) {
+    if (room && !making() && (best == null || !best.outs().isEmpty())) {
       SwitchWire made = connect();
       return best == null ? made : best;
     }
     return best != null ? best : wires.isEmpty() ? connect() : wires.get(wires.size() - 1);
   }
 
+  /** Whether a connection is being made. */
+  private boolean making() {
+    return wires.stream().anyMatch(wire -> !wire.isOpen());
+  }
+
+  /** Whether a call stands there, or a set-up is out. */
+  private boolean waits() {
+    return !standing.isEmpty() || wires.stream().anyMatch(wire -> !wire.outs().isEmpty());
+  }
+
   /** Octets came from it, or a connection to it was made: it is there. */
   void heard(double when) {
     heard = Math.max(heard, when);
@@ -141,7 +148,7 @@
     heard(links.now());
     for (String id : new ArrayList<>(toRelease)) {
       toRelease.remove(id);
-      wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+      wire.end(id);
     }
     for (Out out : new ArrayList<>(wire.outs().values())) {
       send(wire, out);
@@ -221,9 +228,7 @@
         wires.remove(wire);
       }
     }
-    boolean waits = !standing.isEmpty() || wires.stream().anyMatch(wire -> !wire.outs().isEmpty());
-    boolean making = wires.stream().anyMatch(wire -> !wire.isOpen());
-    if (waits && now - heard > CHECK_AFTER && !making && !connectingAgain) {
+    if (waits() && now - heard > CHECK_AFTER && !making() && !connectingAgain) {
       check();
     }
     boolean drains = entry.state() != CallPolicy.State.IN_SERVICE;
@@ -272,7 +277,7 @@
 
   /** The switch is no more: what was out broke, and what stood there was cut. */
   private void gone(String why) {
-    if (standing.isEmpty() && wires.stream().allMatch(wire -> wire.outs().isEmpty())) {
+    if (!waits()) {
       return;
     }
     links.counters().count("switches taken as gone: " + why);
@@ -327,8 +332,8 @@
       if (out != null && out.order.attempt() == attempt) {
         wire.outs().remove(id);
         if (out.sent) {
-          wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
-          rememberGivenUp(id);
+          wire.end(id);
+          givenUp.add(id);
           if (wire.heard() < out.since) {
             wire.nowSilent();
           }
@@ -339,26 +344,18 @@
     return false;
   }
 
-  private void rememberGivenUp(String id) {
-    givenUp.add(id);
-    if (givenUp.size() > MOST_GIVEN_UP) {
-      givenUp.remove(givenUp.iterator().next());
-    }
-  }
-
-  /** Ends a call that stands here; whether it did. */
-  boolean release(String id) {
+  /** Ends a call, where it stands here. */
+  void release(String id) {
     if (standing.remove(id) == null) {
-      return false;
+      return;
     }
     for (SwitchWire wire : wires) {
       if (wire.isOpen() && !wire.silent()) {
-        wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
-        return true;
+        wire.end(id);
+        return;
       }
     }
     toRelease.add(id);
-    return true;
   }
 
   void resume(String id) {
@@ -392,7 +389,7 @@
       standing.put(id, new Standing(out.order.attempt(), out.since));
       links.stands(out.order, message.text());
     } else if (!standing.containsKey(id) && givenUp.remove(id) && !isOut(id)) {
-      wire.send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+      wire.end(id);
     }
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -189,9 +189,4 @@
   int standing() {
     return links.values().stream().mapToInt(SwitchLink::standing).sum();
   }
-
-  /** Calls with a set-up out, or standing. */
-  int calls() {
-    return byCall.size();
-  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchWire.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchWire.java
@@ -1,5 +1,6 @@
 package coveladder.isupfront;
 
+import coveladder.isup.Cause;
 import coveladder.isup.LineFramer;
 import coveladder.isup.MalformedException;
 import coveladder.isup.SwitchCodec;
@@ -67,6 +68,11 @@
     return wire.send(SwitchCodec.encode(message));
   }
 
+  /** Gives a set-up up, or ends a call that stands. */
+  void end(String id) {
+    send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
+  }
+
   @Override
   public void opened() {
     open = true;
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -30,7 +30,6 @@
   private volatile boolean running = true;
   private long sequence;
   private long faults;
-  private long stood;
   private long lastTurn = System.nanoTime();
 
   /** A timer that was set. */
@@ -153,11 +152,6 @@
     return queue.size();
   }
 
-  /** Times that the loop stood still for a tenth of a second or more, without its own doing. */
-  public long stood() {
-    return stood;
-  }
-
   /** Tasks that threw; each was logged and the loop went on. */
   public long faults() {
     return faults;
@@ -204,7 +198,6 @@
   private void catchUp(long before, long wait) {
     long late = Math.max(System.nanoTime() - before - wait, before - lastTurn);
     if (late > STOOD_STILL) {
-      stood++;
       LockSupport.parkNanos(READ_FIRST);
     }
     runUrgent();
--- a/net/src/main/java/coveladder/net/SocketNode.java
+++ b/net/src/main/java/coveladder/net/SocketNode.java
@@ -249,16 +249,7 @@
     return new Hop(transport, socket.getAddress().getHostAddress(), socket.getPort());
   }
 
-  private static byte[] octets(FilterChainContext context) {
-    Buffer buffer = context.getMessage();
-    byte[] octets = new byte[buffer.remaining()];
-    buffer.get(octets);
-    buffer.tryDispose();
-    return octets;
-  }
-
-  private boolean deliver(Hop from, byte[] message) {
-    double arrived = loop.now();
+  private boolean deliver(Hop from, byte[] message, double arrived) {
     return loop.offer(
         () -> {
           if (node != null) {
@@ -272,7 +263,7 @@
     @Override
     public NextAction handleRead(FilterChainContext context) {
       Hop from = hop(Transport.UDP, context.getAddress());
-      deliver(from, octets(context));
+      deliver(from, Sockets.octets(context), loop.now());
       return context.getStopAction();
     }
   }
@@ -299,11 +290,6 @@
       peers.put(hop(stream), stream);
     }
 
-    @Override
-    public void connected(Stream stream) {
-      // What waited has left already.
-    }
-
     @Override
     public void lost(Stream stream, Streams.Loss loss) {
       boolean broke = loss == Streams.Loss.CLOSED;
@@ -327,7 +313,7 @@
             0,
             octets.length,
             message -> {
-              if (!deliver(framing.hop, message)) {
+              if (!deliver(framing.hop, message, arrived)) {
                 stream.close();
               }
             },
--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -63,6 +65,15 @@
     return FilterChainBuilder.stateless().add(new TransportFilter()).add(last).build();
   }
 
+  /** What was read; its buffer is given back. */
+  static byte[] octets(FilterChainContext context) {
+    Buffer buffer = context.getMessage();
+    byte[] octets = new byte[buffer.remaining()];
+    buffer.get(octets);
+    buffer.tryDispose();
+    return octets;
+  }
+
   Connection<SocketAddress> listen(FilterChain chain, InetSocketAddress address)
       throws IOException {
     return TCPNIOBindingHandler.builder(tcp).processor(chain).build().bind(address, BACKLOG);
--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -124,11 +124,6 @@
     }
   }
 
-  /** Octets that wait to be written. */
-  public long waiting() {
-    return waiting.get();
-  }
-
   /** Closes once what waits has left. */
   void closeWhenSent() {
     closing = true;
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -69,8 +68,8 @@
     /** Another node connected. */
     void accepted(Stream stream);
 
-    /** An own connection is made. */
-    void connected(Stream stream);
+    /** An own connection is made; what waited for it has left. */
+    default void connected(Stream stream) {}
 
     /** A connection is no more, without this node's doing. */
     void lost(Stream stream, Loss loss);
@@ -245,10 +244,7 @@
     public NextAction handleRead(FilterChainContext context) {
       double arrived = loop.now();
       Connection<SocketAddress> connection = connection(context);
-      Buffer buffer = context.getMessage();
-      byte[] octets = new byte[buffer.remaining()];
-      buffer.get(octets);
-      buffer.tryDispose();
+      byte[] octets = Sockets.octets(context);
       Stream stream = STREAM.get(connection);
       if (stream != null) {
         user.read(stream, octets, arrived);
--- a/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
+++ b/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
@@ -46,7 +46,7 @@
     configure(journal.getLocalPort());
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("RELAY_CONFIG", config.toString());
-    process = builder.redirectErrorStream(true).inheritIO().start();
+    process = builder.inheritIO().start();
     farSwitch.setSoTimeout(PATIENCE);
     journal.setSoTimeout(PATIENCE);
     events = journal.accept();
