Quiet switches are asked for a new connection a third as often, and out of step

Cause: SwitchLink.CHECK_AFTER, 1.5 s. Where traffic is thin a switch in order says nothing for seconds, so every controller made a new connection to every switch with a standing call each 1.5 s, though what it guards (calls of a machine that vanished, released within 8 s) needs only some tries before. Ruled out: connections beside busy ones (65 of 1,429), idle closes (none lost after less than 9 s of silence).

--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -57,7 +57,8 @@
     AttemptGuard guard = new AttemptGuard(settings.policy().guard(), settings.grace());
     int self = settings.policy().self();
     this.controller = new CallController(settings.policy(), this, guard, new Ends(), policies);
-    this.switches = new SwitchLinks(controller, clock, wires, limits, counters, self);
+    this.switches =
+        new SwitchLinks(controller, clock, wires, limits, counters, self, settings.seed());
     SetUp.Reader reader =
         new SetUp.Reader(settings.classes(), settings.policy().classes(), this::canBeCalled);
     ReleaseKeeper releases = new ReleaseKeeper(clock);
--- a/isupfront/src/main/java/coveladder/isupfront/Limits.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Limits.java
@@ -26,10 +26,13 @@
   /** Descriptors kept for the process, the listening socket, the journal and accepting. */
   private static final int KEPT = 64;
 
+  /** The platform wants what ended unseen released within 8 s of its end, ms. */
+  private static final double UNHEARD = 7_000;
+
   /** Bounds within so many descriptors, for a list of so many switches. */
   public static Limits within(int descriptors, int switches) {
     int links = 3;
     int callers = Math.max(16, descriptors - KEPT - links * (switches + 4));
-    return new Limits(16_384, callers, 3_000, 12_000, 2_000, 20, links, 300, 6_000);
+    return new Limits(16_384, callers, 3_000, 12_000, 2_000, 20, links, 300, UNHEARD);
   }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -22,9 +22,20 @@
  * may come on any.
  */
 final class SwitchLink {
+  /** A connection that broke is made again after about so long, ms. */
   private static final double AGAIN_AFTER = 50;
-  private static final double AGAIN_TURNED_AWAY = 250;
-  private static final double CHECK_AFTER = 1_500;
+
+  /** One that was not made is tried again after about so long at first, and at most, ms. */
+  private static final double AGAIN_FIRST = 250;
+
+  private static final double AGAIN_MOST = 1_000;
+
+  /**
+   * Least silence of a switch where calls stand before a new connection tells whether it is there,
+   * ms; up to a third more by the draw. Where traffic is thin a switch in good order is silent for
+   * seconds, and its connections come from all controllers: sooner checks were half of them all.
+   */
+  private static final double CHECK_AFTER = 3_500;
 
   /**
    * A switch in service that turns connections away for so long is down, ms: the list says so
@@ -50,6 +61,8 @@
   private double heard;
   private double turnedAwaySince = Double.NaN;
   private boolean connectingAgain;
+  private double again = AGAIN_FIRST;
+  private final double checkAfter;
 
   /** A set-up that is out. */
   static final class Out {
@@ -78,6 +91,7 @@
     this.links = links;
     this.address = PlatformSettings.Address.of("address", entry.address());
     this.heard = links.now();
+    this.checkAfter = CHECK_AFTER * (1 + links.draw() / 3);
     connect();
   }
 
@@ -145,6 +159,7 @@
 
   void opened(SwitchWire wire) {
     turnedAwaySince = Double.NaN;
+    again = AGAIN_FIRST;
     heard(links.now());
     for (String id : new ArrayList<>(toRelease)) {
       toRelease.remove(id);
@@ -164,7 +179,17 @@
       links.counters().count("switch connections lost");
     }
     over(wire, loss == Loss.CLOSED);
-    connectAgain(loss == Loss.CLOSED ? AGAIN_AFTER : AGAIN_TURNED_AWAY);
+    connectAgain(loss == Loss.CLOSED ? AGAIN_AFTER : notMadeAgain());
+  }
+
+  /**
+   * While a call stands there, how soon it is known to be gone depends on these tries; else they
+   * grow apart, as every controller makes them.
+   */
+  private double notMadeAgain() {
+    double after = standing.isEmpty() ? again : AGAIN_FIRST;
+    again = Math.min(AGAIN_MOST, 2 * again);
+    return after;
   }
 
   private void over(SwitchWire wire, boolean wasOpen) {
@@ -186,7 +211,7 @@
     }
     connectingAgain = true;
     links.after(
-        after,
+        after * (0.5 + links.draw()),
         () -> {
           connectingAgain = false;
           if (wantsAnother()) {
@@ -228,7 +253,7 @@
         wires.remove(wire);
       }
     }
-    if (waits() && now - heard > CHECK_AFTER && !making() && !connectingAgain) {
+    if (waits() && now - heard > checkAfter && !making() && !connectingAgain) {
       check();
     }
     boolean drains = entry.state() != CallPolicy.State.IN_SERVICE;
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 
 /** All switches of the list but the own one, each with its connections. */
@@ -23,6 +24,7 @@
   private final Limits limits;
   private final Counters counters;
   private final int self;
+  private final SplittableRandom random;
   private final Map<String, SwitchLink> links = new LinkedHashMap<>();
   private final Map<String, SwitchLink> byCall = new LinkedHashMap<>();
   private final Map<String, Double> probes = new LinkedHashMap<>();
@@ -35,13 +37,15 @@
       Wires wires,
       Limits limits,
       Counters counters,
-      int self) {
+      int self,
+      long seed) {
     this.controller = controller;
     this.clock = clock;
     this.wires = wires;
     this.limits = limits;
     this.counters = counters;
     this.self = self;
+    this.random = new SplittableRandom(seed);
     this.began = clock.now();
   }
 
@@ -66,6 +70,11 @@
     return clock.now();
   }
 
+  /** A number from 0 to 1, drawn from the seed: what all controllers do is spread by it. */
+  double draw() {
+    return random.nextDouble();
+  }
+
   void after(double delay, Runnable task) {
     clock.after(delay, task);
   }
