--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -318,8 +318,9 @@
   void aQuietSwitchInGoodOrderIsNotAskedForConnectionsOverAndOver() {
     standing(7);
     for (int i = 0; i < 600; i++) {
+      int before = bed.connected.size();
       bed.clock.run(100);
-      bed.connected.stream().filter(w -> w.port == 2 && !w.ended).forEach(Bed.FakeWire::open);
+      bed.connected.stream().skip(before).forEach(Bed.FakeWire::open);
     }
     long made = bed.connected.stream().filter(w -> w.port == 2).count();
     assertTrue(made <= 1 + 60_000 / 3_500, "connections in a minute: " + made);
