Configurations are read one after the other, none after the word to end

Read in Serve: each SIGHUP started a thread of its own (Signals.on(HUP) in serve()), and a reading retries for 2 s, so an older file could be applied after a newer one, and one after the word to end. Reloads owns both now: one reader, one that waits, none after the end.

--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -33,6 +33,7 @@
   private final EventLoop loop;
   private final IsupFront front;
   private final SocketWires wires;
+  private final Reloads reloads = new Reloads(this::reload);
   private final CountDownLatch ended = new CountDownLatch(1);
 
   private Serve(Path file, PlatformSettings settings) throws IOException {
@@ -81,7 +82,7 @@
 
   private void serve(PlatformSettings settings) throws IOException, InterruptedException {
     Signals.on("TERM", () -> loop.execute(this::terminate));
-    Signals.on("HUP", () -> new Thread(this::reload, "reload").start());
+    Signals.on("HUP", reloads::ask);
     loop.after(0, front::start);
     loop.after(TELL_EVERY, this::tell);
     wires.listen(
@@ -95,6 +96,7 @@
 
   private void terminate() {
     LOG.info("told to end; {}", front.state());
+    reloads.end();
     front.terminate();
     awaitEnd();
   }
@@ -109,7 +111,7 @@
   }
 
   /** Reads the file again; it may be half written, so an unusable one is read some times more. */
-  private void reload() {
+  private void reload() throws InterruptedException {
     String problem = "";
     for (int i = 0; i < USABLE_TRIES; i++) {
       try {
@@ -120,12 +122,7 @@
       } catch (WireException | IOException e) {
         problem = e.getMessage();
       }
-      try {
-        Thread.sleep(USABLE_AGAIN);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
-      }
+      Thread.sleep(USABLE_AGAIN);
     }
     LOG.error("the configuration stays as it was; {}: {}", file, problem);
   }
