Cold budget holds for thin shares: no floor, and sends before the start do not count

With shares under a tenth of a call a window 8 set-ups came where 5.9 were allowed (30 controllers) and 7 where 5.1 were (60).

Cause: withinColdBudget took at least a tenth of a call a window as each controller's share. Without that floor the window is longer than the ramp, and sends to the processor before its start counted against it (12 set-ups in ten ramps where 105 were allowed); they are dropped at its start.

--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -208,6 +208,7 @@
       if (entry.state() == State.IN_SERVICE && newer) {
         far.current = entry;
         far.since = entry.started() > far.since ? now : far.since;
+        far.sends.removeIf(sent -> sent < entry.started());
       }
     }
     others.clear();
@@ -961,7 +962,7 @@
     boolean withinColdBudget(double now) {
       double capacity = WORK_PER_CALL * ownRate * settings.coldFrom() * settings.fall();
       double share = settings.fallMultiple() * capacity / settings.instances();
-      double window = settings.fall() / Math.max(0.1, Math.min(1, share));
+      double window = settings.fall() / Math.min(1, share);
       while (!sends.isEmpty() && sends.peek() < now - window) {
         sends.poll();
       }
--- a/policy/src/test/java/coveladder/Bed.java
+++ b/policy/src/test/java/coveladder/Bed.java
@@ -33,7 +33,13 @@
   }
 
   Bed(Settings settings, long seed) {
+    this(settings, seed, 0);
+  }
+
+  /** A module that starts at a clock. */
+  Bed(Settings settings, long seed, double start) {
     this.settings = settings;
+    now = start;
     policy = new NestedThresholdPolicy(settings, seed, asked);
     policy.onStart(now);
   }
