Classes that may not simply be repeated are sent once, and fail rather than are refused

Nothing read it: any class was sent again after a time-out, a reset or an error, and refused with cause 34 or 42, which tells the caller that trying again is harmless.

Now SettingsReader gives each class how long and where an attempt may be repeated; the module's gate, its line and its refusals keep to it (Held.repeats, refuse); at the end CallController tells such a call as failed. A key of a zone is taken as one of an exchange, as the module knows no zones: that is the stricter reading.

--- a/core/src/main/java/coveladder/core/CallController.java
+++ b/core/src/main/java/coveladder/core/CallController.java
@@ -415,12 +415,19 @@
     drain();
     for (HeldCall held : new ArrayList<>(calls.values())) {
       if (!held.answered()) {
-        finalAnswer(held, new FinalAnswer(FinalAnswer.Kind.SHUT_DOWN, 0, Reason.NONE));
+        finalAnswer(held, new FinalAnswer(atTheEnd(held), 0, Reason.NONE));
         tell(p -> p.onCallerLeft(clock.now(), held.call().id()));
       }
     }
   }
 
+  /** A call that may have run, of a class that is not simply repeated, has failed. */
+  private FinalAnswer.Kind atTheEnd(HeldCall held) {
+    boolean harmless =
+        held.attempts() == 0 || settings.classes().get(held.call().type()).anywhere();
+    return harmless ? FinalAnswer.Kind.SHUT_DOWN : FinalAnswer.Kind.FAILED;
+  }
+
   /** Ends the calls that stand, from both sides. */
   public void releaseStanding() {
     for (HeldCall held : new ArrayList<>(calls.values())) {
--- a/isupfront/src/test/java/coveladder/isupfront/LifeTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import coveladder.CallPolicy;
 import coveladder.isup.CallerCodec;
 import coveladder.isup.CallerMessage;
 import coveladder.isupfront.Wires.Loss;
@@ -203,6 +204,36 @@
     assertTrue(bed.connected.stream().filter(w -> w.port == 2).allMatch(w -> w.ended));
   }
 
+  @ParameterizedTest
+  @CsvSource({"safe, 42", "unsafe, 41"})
+  void atTheEndACallThatMayHaveRunIsToldAsRefusedOnlyWhereItsClassIsSafe(String kind, int cause) {
+    String repeat = "\"worth\":1,\"repeat\":\"" + kind + "\",";
+    bed =
+        new Bed(
+                LongTries::new,
+                Limits.within(256, 3),
+                config -> config.replace("9000", "3000").replace("\"worth\":1,", repeat))
+            .open();
+    Bed.FakeWire caller = bed.caller();
+    bed.front.terminate();
+    bed.clock.run(1_800);
+    caller.feed(Bed.setUp(7));
+    bed.clock.run(1_300);
+    assertEquals(List.of("12 7 cause " + cause), caller.news());
+  }
+
+  /** Sends each call once, and waits for longer than the end leaves it. */
+  private static final class LongTries extends Script {
+    LongTries(CallPolicy.Actions actions) {
+      super(actions);
+    }
+
+    @Override
+    public void onCall(double now, Call call) {
+      actions.send(call.id(), "s1", 2_500);
+    }
+  }
+
   @Test
   void aConfigurationThatCannotBeUsedSaysWhereAndWhy() {
     String good = new String(Bed.CONFIG, StandardCharsets.UTF_8);
--- a/policy/src/main/java/coveladder/CallPolicy.java
+++ b/policy/src/main/java/coveladder/CallPolicy.java
@@ -130,6 +130,10 @@
    * @param width circuits taken on each group
    * @param hold mean duration of a call, ms
    * @param pools numbers of the pools that it may use; empty: all
+   * @param repeatFor how long after an attempt that may have run another may leave, ms; infinite
+   *     where the class is safe to repeat, 0 where it is not
+   * @param anywhere whether that other may go to any exchange, and a caller may be told to try
+   *     again; else it goes where the first went, or the call fails
    */
   record CallClass(
       double worth,
@@ -138,7 +142,21 @@
       double giveUp,
       int width,
       double hold,
-      List<Integer> pools) {
+      List<Integer> pools,
+      double repeatFor,
+      boolean anywhere) {
+    /** A class that is safe to repeat. */
+    public CallClass(
+        double worth,
+        double lateWorth,
+        double aim,
+        double giveUp,
+        int width,
+        double hold,
+        List<Integer> pools) {
+      this(worth, lateWorth, aim, giveUp, width, hold, pools, Double.POSITIVE_INFINITY, true);
+    }
+
     /** Checks the figures. */
     public CallClass {
       Settings.require(worth >= 0, "worth", worth);
@@ -147,6 +165,7 @@
       Settings.require(giveUp > 0, "giveUp", giveUp);
       Settings.require(width >= 1, "width", width);
       Settings.require(hold > 0, "hold", hold);
+      Settings.require(repeatFor >= 0, "repeatFor", repeatFor);
       pools = List.copyOf(pools);
     }
   }
--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -15,9 +15,8 @@
 /**
  * All decisions of a call controller. Its types, events and actions are in CallPolicy.java.
  *
- * <p>Reading map: tuned values; what is remembered; events; ordinary path; thresholds; the one gate
- * before every send ({@code maySend}); waiting line; answers; crowded numbers; health ({@code
- * Far}).
+ * <p>Reading map: tuned values; what is remembered; events; ordinary path; thresholds; the gate
+ * before every send ({@code maySend}); waiting line; answers; crowded numbers; health.
  */
 public final class NestedThresholdPolicy implements CallPolicy {
 
@@ -306,8 +305,7 @@
   /**
    * A gap in the module's own beat tells how long it stood still. Guards the estimates of far ends
    * against answers that lay unread, and the line against calls whose aim went by unseen, whatever
-   * held the controller up. Could harm by taking a truly slow answer of that moment for a quick
-   * one.
+   * held the controller up. Could harm by taking a slow answer of that moment for a quick one.
    */
   private void notice(double now) {
     if (now > seen) {
@@ -480,8 +478,7 @@
 
   /**
    * The report's value recursion on the busy count of one group, for Poisson arrivals: rates per
-   * ms, hold in ms. Gives for each class the first occupancy at which blocking it is cheaper, or
-   * the size.
+   * ms, hold in ms. For each class the first occupancy at which blocking is cheaper, or the size.
    */
   static int[] thresholds(int size, double[] rates, double hold, double[] costs) {
     double service = 1 / hold;
@@ -530,6 +527,7 @@
         && now >= held.guardUntil
         && ownTakes(now, held)
         && held.attempts < settings.maxAttempts()
+        && held.repeats(now, first)
         && first.number != settings.self()
         && first.current != null
         && destination.current != null
@@ -610,6 +608,7 @@
     double needed = pools || !far.out.isEmpty() ? 0 : far.trial(held);
     return held.aimBy - Math.max(now, opens(held)) <= Math.max(LEAST_AIM, needed)
         || held.attempts >= settings.maxAttempts()
+        || !held.repeats(now, null)
         || !pools && far.current == null
         || !direct && held.tandems >= TANDEM_TRIES;
   }
@@ -625,11 +624,10 @@
   private void attemptEnded(double now, Held held, Ended ended) {
     Attempt attempt = held.out;
     held.out = null;
-    boolean stood = held.standing;
-    held.standing = false;
-    if (!stood) {
+    if (!held.standing) {
       judge(now, attempt, ended);
     }
+    held.standing = false;
     unanswered -= attempt.answered ? 0 : 1;
     attempt.over();
     if (ended.last() || held.finished) {
@@ -637,10 +635,10 @@
       calls.remove(held.call.id());
       return;
     }
-    Outcome outcome = ended.outcome();
-    if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET || outcome == Outcome.CANCELLED) {
-      held.guardUntil = now + settings.guard();
-    }
+    Outcome how = ended.outcome();
+    boolean unsure = how == Outcome.TIMED_OUT || how == Outcome.RESET || how == Outcome.CANCELLED;
+    held.guardUntil = unsure ? now + settings.guard() : held.guardUntil;
+    held.ran = held.ran == null && (unsure || how == Outcome.ERROR) ? attempt : held.ran;
     next(now, held, ended);
   }
 
@@ -726,7 +724,7 @@
     if (ended.reason() == Reason.NUMBER_BUSY) {
       crowded.put(held.call.number(), now + CROWDED_MS);
       refuse(held);
-    } else if (held.call.transit() || now >= held.aimBy - LEAST_AIM) {
+    } else if (held.call.transit() || now >= held.aimBy - LEAST_AIM || !held.repeats(now, null)) {
       fail(held);
     } else {
       route(now, held);
@@ -734,6 +732,10 @@
   }
 
   private void refuse(Held held) {
+    if (held.ran != null && !held.kind.anywhere()) {
+      fail(held);
+      return;
+    }
     finish(held);
     actions.refuse(held.call.id(), held.call.transit() ? 0 : comeBack(held));
   }
@@ -985,6 +987,7 @@
     int attempts;
     int tandems;
     Attempt out;
+    Attempt ran;
     boolean late;
     boolean standing;
     boolean finished;
@@ -996,6 +999,12 @@
       return kind.worth() * (late ? kind.lateWorth() : 1);
     }
 
+    /** Whether a set-up may go there, or anywhere, after one that may have run: none made twice. */
+    boolean repeats(double now, Far there) {
+      boolean fits = ran == null || kind.anywhere() || there == null || there == ran.first;
+      return fits && (ran == null || now < ran.sent + kind.repeatFor());
+    }
+
     Held(Call call, CallClass kind, long order) {
       this.call = call;
       this.kind = kind;
--- a/wire/src/main/java/coveladder/wire/SettingsReader.java
+++ b/wire/src/main/java/coveladder/wire/SettingsReader.java
@@ -64,11 +64,27 @@
               giveUp,
               widths.length == 0 ? 1 : (int) widths[i],
               holds.length == 0 ? 1000 : holds[i],
-              pools(f, i)));
+              pools(f, i),
+              repeatFor(f, path),
+              !f.text(path + "repeat", "safe").equals("unsafe")
+                  && f.text(path + "keyScope", "all").equals("all")));
     }
     return classes;
   }
 
+  /** A key of a zone is taken as one of a cell, as the policy knows no zones: that is in both. */
+  private static double repeatFor(Fields f, String path) {
+    String word = f.text(path + "repeat", "safe");
+    return switch (word) {
+      case "safe" -> Double.POSITIVE_INFINITY;
+      case "keyed" -> f.number(path + "keyTtl", 0);
+      case "unsafe" -> 0;
+      default ->
+          throw new WireException(
+              "unusable setting " + path + "repeat=" + word + ", expected safe, keyed or unsafe");
+    };
+  }
+
   private static double[] perClass(Fields f, String name, int count) {
     double[] values = f.numbers(name);
     if (values.length != 0 && values.length != count) {
