End by the platform's own window, also for short deadlines; SIGHUP heard under nohup

Now the window is the longest deadline, 3 s at most; served for two thirds of it, answered at its end, closed 0.1 s and gone 0.2 s later.

--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -11,6 +11,7 @@
 import coveladder.core.Signalling;
 import coveladder.isupfront.Wires.Wire;
 import coveladder.isupfront.Wires.WireUser;
+import java.util.List;
 import java.util.function.Function;
 
 /**
@@ -21,12 +22,13 @@
   private static final double SWEEP = 100;
 
   /**
-   * Shortest time that callers wait for an answer at a planned restart, whatever the classes, ms.
+   * The platform's window at a planned restart: the longest deadline, counted as so long where it
+   * is longer, ms. It kills no sooner than 0.7 s after that.
    */
-  private static final double LEAST_WINDOW = 3_000;
+  private static final double LONGEST_WINDOW = 3_000;
 
-  /** What comes later than so long before the last answers are due is refused at once, ms. */
-  private static final double TO_BE_SERVED = 1_000;
+  /** Share of the window in which set-ups are served; what comes later is refused at once. */
+  private static final double SERVED = 2.0 / 3;
 
   /** Calls that end are released for so long after the last answers are due, ms. */
   private static final double RELEASES = 100;
@@ -60,10 +62,7 @@
     this.settings = settings;
     this.clock = clock;
     this.wires = wires;
-    this.window =
-        settings.policy().classes().stream()
-            .mapToDouble(CallPolicy.CallClass::giveUp)
-            .reduce(LEAST_WINDOW, Math::max);
+    this.window = window(settings.policy().classes());
     AttemptGuard guard = new AttemptGuard(settings.policy().guard(), settings.grace());
     int self = settings.policy().self();
     this.controller = new CallController(settings.policy(), this, guard, new Ends(), policies);
@@ -79,6 +78,11 @@
     switches.describeTo(callers::describe);
   }
 
+  private static double window(List<CallPolicy.CallClass> classes) {
+    double longest = classes.stream().mapToDouble(CallPolicy.CallClass::giveUp).max().orElse(0);
+    return Math.min(LONGEST_WINDOW, longest);
+  }
+
   /**
    * Whether a number can be of an exchange. The own one is among them: while another controller is
    * away, its callers come here, also with calls to this exchange, and where those go is the
@@ -131,13 +135,13 @@
   }
 
   /**
-   * The end in steps. The platform kills no sooner than the window and 0.7 s after its word: what
-   * comes late is refused, then whatever is unanswered gets its answer, then the connections are
-   * closed, so that nothing more is taken that could not be answered.
+   * The end in steps, before the platform may kill: what comes late is refused, then whatever is
+   * unanswered gets its answer, then the connections are closed, so that nothing more is taken that
+   * could not be answered.
    */
   private void end() {
     double since = clock.now() - endsSince;
-    if (since >= window - TO_BE_SERVED) {
+    if (since >= SERVED * window) {
       callers.end();
     }
     if (since >= window) {
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -22,6 +22,7 @@
  */
 public final class Serve {
   private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+  private static final int HUP = 1;
   private static final int QUEUE = 8_192;
   private static final int WAITING = 1 << 19;
   private static final double CONNECT_WITHIN = 500;
@@ -83,6 +84,9 @@
   private void serve(PlatformSettings settings) throws IOException, InterruptedException {
     Signals.on("TERM", () -> loop.execute(this::terminate));
     Signals.on("HUP", reloads::ask);
+    if (Signals.ignored(HUP)) {
+      LOG.warn("SIGHUP was set to be ignored before the start: no new configuration will be read");
+    }
     loop.after(0, front::start);
     loop.after(TELL_EVERY, this::tell);
     wires.listen(
--- a/serve/src/main/java/coveladder/serve/Signals.java
+++ b/serve/src/main/java/coveladder/serve/Signals.java
@@ -1,14 +1,41 @@
 package coveladder.serve;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
 
 /**
  * Signals of the operating system. The JDK has no public name for them; its own class is reached by
  * reflection, and where there is none the signal keeps its usual effect.
  */
 public final class Signals {
+  private static final Path STATUS = Path.of("/proc/self/status");
+
   private Signals() {}
 
+  /**
+   * Whether a signal is ignored by word of whoever started this process, as by nohup: the virtual
+   * machine then leaves it so, and a task set for it never runs. False where that cannot be known.
+   *
+   * @param number of the signal, such as 1 for HUP
+   */
+  public static boolean ignored(int number) {
+    try (Stream<String> lines = Files.lines(STATUS)) {
+      return lines
+          .filter(line -> line.startsWith("SigIgn:"))
+          .anyMatch(line -> (mask(line) >> (number - 1) & 1) == 1);
+    } catch (IOException | UncheckedIOException | NumberFormatException e) {
+      return false;
+    }
+  }
+
+  private static long mask(String line) {
+    return Long.parseUnsignedLong(line.substring(line.indexOf(':') + 1).trim(), 16);
+  }
+
   /** Runs a task at each signal of that name, such as HUP; whether that is possible here. */
   public static boolean on(String name, Runnable task) {
     try {
--- a/serve/src/test/java/coveladder/serve/ServeTest.java
+++ b/serve/src/test/java/coveladder/serve/ServeTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,28 @@
     }
   }
 
+  /** As the deploy file starts it: a parent that ignores SIGHUP, as nohup does, changes nothing. */
+  @Test
+  void aNewConfigurationIsReadAlsoWhereTheParentIgnoresItsSignal() throws Exception {
+    String deploy = Files.readString(Path.of("..", "deploy", "balancer.toml"));
+    String run = deploy.lines().filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+    String starter = run.substring(run.indexOf("exec"), run.indexOf("java "));
+    String classes = System.getProperty("java.class.path");
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    String line =
+        "trap '' HUP; " + starter + java + " -cp '" + classes + "' coveladder.serve.Serve serve";
+    try (LoopbackPlatform platform = new LoopbackPlatform(folder, List.of("sh", "-c", line));
+        ServerSocket moved = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      assertEquals("tail 1", platform.asked());
+      platform.configure(moved.getLocalPort());
+      signal(platform.process(), "HUP");
+      moved.setSoTimeout(20_000);
+      try (Socket again = moved.accept()) {
+        assertEquals("tail 1", LoopbackPlatform.reader(again).readLine());
+      }
+    }
+  }
+
   private static void signal(Process process, String name) throws Exception {
     String pid = Long.toString(process.pid());
     assertEquals(0, new ProcessBuilder("kill", "-" + name, pid).start().waitFor());
