Settings out of range or named twice are refused at the start, with path and bounds

Seen by a table of 17 faulty files: a class named twice, a ramp of 1e300 ms, 3 descriptors and a grace under nought were taken; others were refused without their path.

--- a/isupfront/src/main/java/coveladder/isupfront/PlatformSettings.java
+++ b/isupfront/src/main/java/coveladder/isupfront/PlatformSettings.java
@@ -75,12 +75,12 @@
           all.text("name", "controller"),
           Address.of("listen", all.text("listen")),
           seed(all.text("seed", "0")),
-          all.small("limits.sockets", 1024),
+          all.smallWithin("limits.sockets", 1024, 64, 1 << 20),
           Address.of("journal", all.text("journal")),
           all.whole("known.pos"),
           JournalLine.known(paths, "known.entries"),
           classNames(settings),
-          settings.number("rules.drainGrace", 0),
+          settings.within("rules.drainGrace", 0, 0, 1e9),
           SettingsReader.read(settings));
     } catch (MalformedException | IllegalArgumentException e) {
       throw new WireException("configuration: " + e.getMessage());
@@ -109,7 +109,12 @@
   private static List<String> classNames(Fields settings) {
     List<String> names = new ArrayList<>();
     for (int i = 0; i < settings.small("classes.count"); i++) {
-      names.add(settings.text("classes." + i + ".name"));
+      String path = "classes." + i + ".name";
+      String name = settings.text(path);
+      if (names.contains(name)) {
+        throw new WireException(path + "=" + name + ", expected a name no other class has");
+      }
+      names.add(name);
     }
     return names;
   }
--- a/isupfront/src/test/java/coveladder/isupfront/LifeTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifeTest.java
@@ -241,6 +241,22 @@
         new String[][] {
           {"127.0.0.1:2905", "nowhere", "listen=nowhere, expected host:port"},
           {"\"giveUp\":9000", "\"giveUp\":\"x\"", "giveUp=x"},
+          {"\"giveUp\":9000,", "", "lacks classes.0.giveUp"},
+          {"\"giveUp\":9000", "\"giveUp\":-1", "classes.0.giveUp=-1.0, expected 0.001 to"},
+          {"\"aim\":1200", "\"aim\":1e300", "classes.0.aim=1.0E300, expected 0.001 to"},
+          {"\"aim\":1200", "\"aim\":\"NaN\"", "classes.0.aim=NaN"},
+          {"\"worth\":1", "\"worth\":-4", "classes.0.worth=-4.0, expected 0.0 to"},
+          {"\"lateValue\":0.25", "\"lateValue\":2", "classes.0.lateValue=2.0, expected 0.0 to"},
+          {"\"name\":\"wide\"", "\"name\":\"voice\"", "classes.1.name=voice, expected"},
+          {"\"worth\":1,", "\"worth\":1,\"repeat\":\"twice\",", "classes.0.repeat=twice, expected"},
+          {"[1,3]", "[1,0]", "channelsNeeded=1,0, expected numbers above 0"},
+          {"\"instances\":3", "\"instances\":0", "instances=0, expected 1 to"},
+          {"\"instances\":3", "\"instances\":9e9", "instances=9e9"},
+          {"\"attemptsCap\":6", "\"attemptsCap\":-6", "attemptsCap=-6, expected 1 to"},
+          {"\"coldFrom\":0.28", "\"coldFrom\":0", "rules.coldFrom=0.0, expected 0.001 to"},
+          {"\"fall\":3000", "\"fall\":0", "rules.fall=0.0, expected 0.001 to"},
+          {"\"drainGrace\":250", "\"drainGrace\":-1", "rules.drainGrace=-1.0, expected 0.0 to"},
+          {"\"sockets\":256", "\"sockets\":3", "limits.sockets=3, expected 64 to"},
           {"\"resolution\":5", "\"resolution\":0", "resolution=0"},
           {"8c1f30d27a5be964", "seed", "seed=seed"}
         }) {
--- a/wire/src/main/java/coveladder/wire/Fields.java
+++ b/wire/src/main/java/coveladder/wire/Fields.java
@@ -64,6 +64,26 @@
     return has(name) ? number(name) : absent;
   }
 
+  /** A number within bounds, or what stands for it where it is absent. */
+  public double within(String name, double absent, double least, double most) {
+    double value = number(name, absent);
+    if (value >= least && value <= most) {
+      return value;
+    }
+    throw new WireException(
+        message + " has " + name + "=" + value + ", expected " + least + " to " + most);
+  }
+
+  /** A whole number within bounds, or what stands for it where it is absent. */
+  public int smallWithin(String name, int absent, int least, int most) {
+    int value = small(name, absent);
+    if (value >= least && value <= most) {
+      return value;
+    }
+    throw new WireException(
+        message + " has " + name + "=" + value + ", expected " + least + " to " + most);
+  }
+
   /** A whole number that must be there. */
   public long whole(String name) {
     String text = text(name);
--- a/wire/src/main/java/coveladder/wire/SettingsReader.java
+++ b/wire/src/main/java/coveladder/wire/SettingsReader.java
@@ -11,6 +11,13 @@
  * for the front. Paths that it does not know are skipped.
  */
 public final class SettingsReader {
+  /** Shortest time that must pass, and longest time of all, ms: eleven days. */
+  private static final double SHORTEST = 0.001;
+
+  private static final double LONGEST = 1e9;
+  private static final double DEAREST = 1e9;
+  private static final int MOST = 1_000_000;
+
   private SettingsReader() {}
 
   /**
@@ -22,22 +29,22 @@
     boolean retryAfter = f.flag("permissions.retryAfter");
     return new Settings(
         layout(f.text("familyInfo.layout", "mesh")),
-        f.small("familyInfo.selfNo", -1),
-        f.small("instances", 1),
+        f.smallWithin("familyInfo.selfNo", -1, -1, MOST),
+        f.smallWithin("instances", 1, 1, MOST),
         classes(f),
-        f.number("resolution", 1),
-        f.small("permissions.attemptsCap", 1),
+        f.within("resolution", 1, SHORTEST, LONGEST),
+        f.smallWithin("permissions.attemptsCap", 1, 1, MOST),
         f.flag("permissions.cancel"),
         f.flag("permissions.mayProbe"),
         f.flag("permissions.peers"),
-        retryAfter ? f.number("permissions.maxRetryAfter", 0) : 0,
+        retryAfter ? f.within("permissions.maxRetryAfter", 0, 0, LONGEST) : 0,
         f.text("discovery", "push").equals("ask"),
-        f.number("familyInfo.guard", 0),
-        f.number("familyInfo.retransmit", 0),
-        f.number("rules.coldFrom", 1),
-        f.number("rules.rampTime", 0),
-        f.number("rules.fallMultiple", 1),
-        f.number("rules.fall", 1000));
+        f.within("familyInfo.guard", 0, 0, LONGEST),
+        f.within("familyInfo.retransmit", 0, 0, LONGEST),
+        f.within("rules.coldFrom", 1, SHORTEST, 1),
+        f.within("rules.rampTime", 0, 0, LONGEST),
+        f.within("rules.fallMultiple", 1, SHORTEST, DEAREST),
+        f.within("rules.fall", 1000, SHORTEST, LONGEST));
   }
 
   private static Layout layout(String word) {
@@ -55,12 +62,13 @@
     List<CallClass> classes = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       String path = "classes." + i + ".";
-      double giveUp = f.number(path + "giveUp");
+      f.text(path + "giveUp");
+      double giveUp = f.within(path + "giveUp", 0, SHORTEST, LONGEST);
       classes.add(
           new CallClass(
-              f.number(path + "worth", 1),
-              f.number(path + "lateValue", 0),
-              f.number(path + "aim", giveUp),
+              f.within(path + "worth", 1, 0, DEAREST),
+              f.within(path + "lateValue", 0, 0, 1),
+              f.within(path + "aim", giveUp, SHORTEST, LONGEST),
               giveUp,
               widths.length == 0 ? 1 : (int) widths[i],
               holds.length == 0 ? 1000 : holds[i],
@@ -77,7 +85,7 @@
     String word = f.text(path + "repeat", "safe");
     return switch (word) {
       case "safe" -> Double.POSITIVE_INFINITY;
-      case "keyed" -> f.number(path + "keyTtl", 0);
+      case "keyed" -> f.within(path + "keyTtl", 0, 0, LONGEST);
       case "unsafe" -> 0;
       default ->
           throw new WireException(
@@ -91,6 +99,12 @@
       throw new WireException(
           "unusable setting " + name + "=" + f.text(name) + " for classes.count=" + count);
     }
+    for (double value : values) {
+      if (!(value > 0 && value <= LONGEST)) {
+        throw new WireException(
+            f.message() + " has " + name + "=" + f.text(name) + ", expected numbers above 0");
+      }
+    }
     return values;
   }
 
