--- a/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
+++ b/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -26,14 +27,15 @@
   private static final InetAddress HERE = InetAddress.getLoopbackAddress();
   private static final int PATIENCE = 20_000;
   private final ServerSocket farSwitch = new ServerSocket(0, 50, HERE);
-  private final ServerSocket journal = new ServerSocket(0, 50, HERE);
+  private ServerSocket journal = new ServerSocket(0, 50, HERE);
   private final Path config;
   private final int port;
+  private final int journalPort;
   private final Process process;
-  private final Socket events;
-  private final Socket toSwitch;
-  private final Socket caller;
-  private final BufferedReader fromController;
+  private Socket events;
+  private Socket toSwitch;
+  private Socket caller;
+  private BufferedReader fromController;
 
   /**
    * Starts a controller by its command line, in a folder for its file, and waits until it serves.
@@ -43,19 +45,53 @@
       port = free.getLocalPort();
     }
     config = folder.resolve("config.json");
-    configure(journal.getLocalPort());
+    journalPort = journal.getLocalPort();
+    configure(journalPort);
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("RELAY_CONFIG", config.toString());
     process = builder.inheritIO().start();
     farSwitch.setSoTimeout(PATIENCE);
     journal.setSoTimeout(PATIENCE);
     events = journal.accept();
+    acceptSwitch();
+    callAnew();
+  }
+
+  /** Takes the next connection to the switch, and tells the state of its group. */
+  void acceptSwitch() throws IOException {
     toSwitch = farSwitch.accept();
     toSwitch.setSoTimeout(PATIENCE);
     fromController = reader(toSwitch);
     say(toSwitch, "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"free:9;size:9\"}}");
+  }
+
+  /** The switch ends its connection, and takes the next. */
+  void breakSwitch() throws IOException {
+    toSwitch.close();
+    acceptSwitch();
+  }
+
+  /** A caller connects; what it sends from now on goes there. */
+  Socket callAnew() throws IOException {
     caller = new Socket(HERE, port);
     caller.setSoTimeout(PATIENCE);
+    return caller;
+  }
+
+  /** The journal service goes away, its connections with it. */
+  void loseJournal() throws IOException {
+    journal.close();
+    events.close();
+  }
+
+  /** It is back at its address; what the controller asks it. */
+  String journalBack() throws IOException {
+    journal = new ServerSocket();
+    journal.setReuseAddress(true);
+    journal.bind(new InetSocketAddress(HERE, journalPort));
+    journal.setSoTimeout(PATIENCE);
+    events = journal.accept();
+    return asked();
   }
 
   /** The command line of a controller on a class path, with options of the virtual machine. */
--- /dev/null
+++ b/serve/src/test/java/coveladder/serve/DescriptorsTest.java
@@ -0,0 +1,75 @@
+package coveladder.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import coveladder.isup.CallerCodec;
+import coveladder.isup.CallerMessage;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A process with few descriptors, which idle clients would take up. */
+@Timeout(90)
+class DescriptorsTest {
+  private static final int LIMIT = 256;
+  private static final int IDLE = 2 * LIMIT;
+
+  @TempDir private Path folder;
+
+  private static List<String> command() {
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    String classes = System.getProperty("java.class.path");
+    String line =
+        "ulimit -n " + LIMIT + "; exec " + java + " -cp '" + classes + "' coveladder.serve.Serve";
+    return List.of("sh", "-c", line);
+  }
+
+  /** One that asks once, and keeps its connection; whether it was kept, or closed for room. */
+  private static boolean kept(Socket client) throws IOException {
+    try {
+      client
+          .getOutputStream()
+          .write(CallerCodec.encode(CallerMessage.withCause(52, "00000000000000aa", 0)));
+      return client.getInputStream().read() >= 0;
+    } catch (SocketException e) {
+      return false;
+    }
+  }
+
+  @Test
+  void idleClientsLeaveADescriptorForSwitchJournalAndRealCallersWhileDiscoveryIsDown()
+      throws Exception {
+    List<Socket> idle = new ArrayList<>();
+    try (LoopbackPlatform platform = new LoopbackPlatform(folder, command())) {
+      assertEquals("tail 1", platform.asked());
+      platform.loseJournal();
+      int kept = 0;
+      for (int i = 0; i < IDLE; i++) {
+        Socket client = platform.callAnew();
+        idle.add(client);
+        kept += kept(client) ? 1 : 0;
+      }
+      assertTrue(kept > LIMIT / 2, "served of the idle ones: " + kept);
+      platform.breakSwitch();
+      platform.callAnew();
+      for (int i = 1; i <= 20; i++) {
+        String id = String.format("%016x", i);
+        assertTrue(platform.setUp(id).contains(id));
+        assertEquals(CallerMessage.ANSWER, platform.answer(id, "made").type());
+        assertEquals(16, platform.close(id, 16).cause());
+      }
+      assertEquals("tail 1", platform.journalBack());
+    } finally {
+      for (Socket client : idle) {
+        client.close();
+      }
+    }
+  }
+}
