A set-up that waited for its connection does not leave past the grace of its exchange

Read in SwitchLink.opened and send: a set-up was checked against the list when it was decided on (AttemptGuard), then waited up to 500 ms for its connection, and left whatever the list had told meanwhile; with a grace of 250 ms that breaks the rule on drains. The list is asked again where the set-up leaves; one held back ends as refused, unsent. The test fails without (seen on a copy).

--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -67,7 +67,8 @@
     int self = settings.policy().self();
     this.controller = new CallController(settings.policy(), this, guard, new Ends(), policies);
     this.switches =
-        new SwitchLinks(controller, clock, wires, limits, counters, self, settings.seed());
+        new SwitchLinks(
+            controller, clock, wires, limits, counters, self, settings.grace(), settings.seed());
     SetUp.Reader reader =
         new SetUp.Reader(settings.classes(), settings.policy().classes(), this::canBeCalled);
     ReleaseKeeper releases = new ReleaseKeeper(clock);
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -348,7 +348,16 @@
     }
   }
 
+  /**
+   * The set-up leaves, unless the exchange was told as closed meanwhile and its grace is over: it
+   * may have waited for its connection since it was decided on.
+   */
   private void send(SwitchWire wire, Out out) {
+    if (!links.maySend(id())) {
+      wire.outs().remove(out.order.call());
+      links.over(out.order, Outcome.REFUSED, Reason.NONE, Load.NOTHING);
+      return;
+    }
     out.sent = true;
     double left = Math.max(1, out.order.within() - (links.now() - out.since));
     Map<String, String> attrs = new LinkedHashMap<>();
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -24,6 +24,7 @@
   private final Limits limits;
   private final Counters counters;
   private final int self;
+  private final double grace;
   private final SplittableRandom random;
   private final Map<String, SwitchLink> links = new LinkedHashMap<>();
   private final Map<String, SwitchLink> byCall = new LinkedHashMap<>();
@@ -38,6 +39,7 @@
       Limits limits,
       Counters counters,
       int self,
+      double grace,
       long seed) {
     this.controller = controller;
     this.clock = clock;
@@ -45,6 +47,7 @@
     this.limits = limits;
     this.counters = counters;
     this.self = self;
+    this.grace = grace;
     this.random = new SplittableRandom(seed);
     this.began = clock.now();
   }
@@ -70,6 +73,11 @@
     return clock.now();
   }
 
+  /** Whether something new may go to a switch: it is in service, or within its grace. */
+  boolean maySend(String exchange) {
+    return clock.now() - controller.list().closedSince(exchange) <= grace;
+  }
+
   /** A number from 0 to 1, drawn from the seed: what all controllers do is spread by it. */
   double draw() {
     return random.nextDouble();
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -332,6 +332,21 @@
     assertEquals(0, bed.front.controller().held());
   }
 
+  @Test
+  void aSetUpThatWaitsForAConnectionNeverLeavesPastTheGraceOfItsExchange() {
+    bed.to(2).lose(Loss.CLOSED);
+    caller.feed(Bed.setUp(7));
+    bed.to(8500)
+        .feed(
+            "{\"pos\":2,\"hosts\":{\"generation\":2,\"reset\":false,\"instances\":[{\"instanceId\":"
+                + "\"s1\",\"hostPort\":\"127.0.0.2:2\",\"cell\":1,\"lifecycle\":\"terminating\"}]}}");
+    bed.clock.run(400);
+    bed.to(2).open();
+    bed.clock.run(1);
+    assertEquals(List.of(), bed.to(2).news());
+    assertEquals(List.of("12 7 cause 34 wait 250"), caller.news());
+  }
+
   @Test
   void aSetUpThatWaitsForAConnectionNeverLeavesOnceItsCallerIsGone() {
     bed.to(2).lose(Loss.CLOSED);
