One check of an exchange's grace, one error for figures out of range

Read again: SwitchLinks.maySend wrote AttemptGuard's check of the grace anew; it calls AttemptGuard.withinGrace now. The two bounds of Fields built the same error twice. Behaviour is the same.

Seen and left: loseJournal, breakSwitch and journalBack of LoopbackPlatform serve tests alone but stand beside what the build uses; test settings of ColdFleetTest, RepeatTest and RulesTest are each spelled out.

--- a/core/src/main/java/coveladder/core/AttemptGuard.java
+++ b/core/src/main/java/coveladder/core/AttemptGuard.java
@@ -27,11 +27,16 @@
         !call.answered()
             && call.current() == null
             && now - call.lastUnsure() >= guard
-            && now - closedSince <= grace;
+            && withinGrace(closedSince, now);
     heldBack += permitted ? 0 : 1;
     return permitted;
   }
 
+  /** Whether something new may still go to an exchange that was told as closed then, if ever. */
+  public boolean withinGrace(double closedSince, double now) {
+    return now - closedSince <= grace;
+  }
+
   /** Set-ups held back so far; any is a fault. */
   public long heldBack() {
     return heldBack;
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFront.java
@@ -67,8 +67,7 @@
     int self = settings.policy().self();
     this.controller = new CallController(settings.policy(), this, guard, new Ends(), policies);
     this.switches =
-        new SwitchLinks(
-            controller, clock, wires, limits, counters, self, settings.grace(), settings.seed());
+        new SwitchLinks(controller, clock, wires, limits, counters, self, guard, settings.seed());
     SetUp.Reader reader =
         new SetUp.Reader(settings.classes(), settings.policy().classes(), this::canBeCalled);
     ReleaseKeeper releases = new ReleaseKeeper(clock);
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -4,6 +4,7 @@
 import coveladder.CallPolicy.Outcome;
 import coveladder.CallPolicy.Reason;
 import coveladder.CallPolicy.State;
+import coveladder.core.AttemptGuard;
 import coveladder.core.AttemptOrder;
 import coveladder.core.CallController;
 import coveladder.core.Clockwork;
@@ -24,7 +25,7 @@
   private final Limits limits;
   private final Counters counters;
   private final int self;
-  private final double grace;
+  private final AttemptGuard guard;
   private final SplittableRandom random;
   private final Map<String, SwitchLink> links = new LinkedHashMap<>();
   private final Map<String, SwitchLink> byCall = new LinkedHashMap<>();
@@ -39,7 +40,7 @@
       Limits limits,
       Counters counters,
       int self,
-      double grace,
+      AttemptGuard guard,
       long seed) {
     this.controller = controller;
     this.clock = clock;
@@ -47,7 +48,7 @@
     this.limits = limits;
     this.counters = counters;
     this.self = self;
-    this.grace = grace;
+    this.guard = guard;
     this.random = new SplittableRandom(seed);
     this.began = clock.now();
   }
@@ -75,7 +76,7 @@
 
   /** Whether something new may go to a switch: it is in service, or within its grace. */
   boolean maySend(String exchange) {
-    return clock.now() - controller.list().closedSince(exchange) <= grace;
+    return guard.withinGrace(controller.list().closedSince(exchange), clock.now());
   }
 
   /** A number from 0 to 1, drawn from the seed: what all controllers do is spread by it. */
--- a/wire/src/main/java/coveladder/wire/Fields.java
+++ b/wire/src/main/java/coveladder/wire/Fields.java
@@ -70,8 +70,7 @@
     if (value >= least && value <= most) {
       return value;
     }
-    throw new WireException(
-        message + " has " + name + "=" + value + ", expected " + least + " to " + most);
+    throw outside(name, value, least, most);
   }
 
   /** A whole number within bounds, or what stands for it where it is absent. */
@@ -80,8 +79,7 @@
     if (value >= least && value <= most) {
       return value;
     }
-    throw new WireException(
-        message + " has " + name + "=" + value + ", expected " + least + " to " + most);
+    throw outside(name, value, least, most);
   }
 
   /** A whole number that must be there. */
@@ -147,6 +145,11 @@
     throw unreadable(name, text);
   }
 
+  private WireException outside(String name, Number value, Number least, Number most) {
+    return new WireException(
+        message + " has " + name + "=" + value + ", expected " + least + " to " + most);
+  }
+
   private WireException unreadable(String name, String text) {
     return new WireException(message + " has unreadable " + name + "=" + text);
   }
