Log of each state change, close, retry, refusal and ignored message, with call id and time

Each is now a line with Unix time, kind, call, peer and reason; two limits of 200 lines a second keep a flood of messages from becoming a flood of lines.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -17,6 +17,7 @@
   /** Maximum number of refused duplicate ids remembered. */
   private static final int MAX_REFUSED_IDS = 64;
 
+  private final String name;
   private final CallerRequests requests;
   private final Connection connection;
   private final CallerFramer framer;
@@ -33,13 +34,23 @@
   private int establishedCalls;
 
   CallerConnection(
-      CallerRequests requests, Connection connection, int maxMessageBytes, double now) {
+      String name,
+      CallerRequests requests,
+      Connection connection,
+      int maxMessageBytes,
+      double now) {
+    this.name = name;
     this.requests = requests;
     this.connection = connection;
     this.framer = new CallerFramer(maxMessageBytes);
     this.lastMessageAt = now;
   }
 
+  /** Name in the log. */
+  String name() {
+    return name;
+  }
+
   /** Ids of calls set up on this connection that have no final answer yet. */
   Set<String> pendingCalls() {
     return pendingCalls;
@@ -125,8 +136,7 @@
 
   @Override
   public void lost(Loss loss) {
-    closed = true;
-    requests.connectionLost(this);
+    ended("lost: " + loss);
   }
 
   /** Sends a message; resets the connection if too many octets are queued. */
@@ -137,16 +147,21 @@
     boolean sent = connection.send(CallerCodec.encode(message));
     if (!sent) {
       connection.reset();
-      lost(Loss.CLOSED);
+      ended("reset, too many octets wait");
     }
     return sent;
   }
 
-  /** Closes the connection. */
-  void close() {
+  /** Closes the connection; {@code reason} is for the log. */
+  void close(String reason) {
     if (!closed) {
       connection.close();
-      lost(Loss.CLOSED);
+      ended(reason);
     }
   }
+
+  private void ended(String reason) {
+    closed = true;
+    requests.connectionLost(this, reason);
+  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -31,9 +31,11 @@
   private final ReleaseSender releases;
   private final SwitchLinks switches;
   private final Counters counters;
+  private final EventRecorder log;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Map<String, CallerCall> calls = new HashMap<>();
   private int pendingCount;
+  private long acceptedConnections;
 
   /** Whether the tests of callers fail, so that they send new calls to other controllers. */
   private boolean failingCallerTests;
@@ -60,7 +62,8 @@
       SetUp.Reader reader,
       ReleaseSender releases,
       SwitchLinks switches,
-      Counters counters) {
+      Counters counters,
+      EventRecorder log) {
     this.controller = controller;
     this.scheduler = scheduler;
     this.limits = limits;
@@ -68,6 +71,7 @@
     this.releases = releases;
     this.switches = switches;
     this.counters = counters;
+    this.log = log;
   }
 
   // ---- Connections --------------------------------------------------------------------------
@@ -78,10 +82,15 @@
    */
   ConnectionListener acceptCaller(Connection accepted) {
     CallerConnection connection =
-        new CallerConnection(this, accepted, limits.maxMessageBytes(), scheduler.now());
+        new CallerConnection(
+            "caller#" + ++acceptedConnections,
+            this,
+            accepted,
+            limits.maxMessageBytes(),
+            scheduler.now());
     if (connections.size() >= limits.maxCallerConnections()) {
       CallerConnection leastUsed = leastUsedConnection();
-      (leastUsed == null ? connection : leastUsed).close();
+      (leastUsed == null ? connection : leastUsed).close("closed for room");
       counters.increment("caller links closed for room");
     }
     if (!connection.closed()) {
@@ -124,13 +133,14 @@
       if (connection.silenceMillis(now) > limits.callerSilenceMillis()
           && (connection.hasPartialMessage() || unused)) {
         counters.increment("caller links closed as silent");
-        connection.close();
+        connection.close("closed as silent");
       }
     }
   }
 
-  /** Abandons the pending calls of a connection that ended. */
-  void connectionLost(CallerConnection connection) {
+  /** Abandons the pending calls of a connection that ended; {@code reason} is for the log. */
+  void connectionLost(CallerConnection connection, String reason) {
+    log.closed(connection.name(), reason);
     connections.remove(connection);
     for (String id : new ArrayList<>(connection.pendingCalls())) {
       abandon(id);
@@ -141,7 +151,7 @@
   /** Closes a connection that delivered octets which are no message. */
   void closeUnreadable(CallerConnection connection, String problem) {
     counters.increment("caller links closed as unreadable: " + problem);
-    connection.close();
+    connection.close("closed as unreadable: " + problem);
   }
 
   int connectionCount() {
@@ -175,7 +185,7 @@
       setUp = reader.read(message);
     } catch (MalformedException e) {
       counters.increment("set-ups that cannot be used: " + e.getMessage());
-      refuseUnusable(connection, id);
+      refuseUnusable(connection, id, e.getMessage());
       return;
     }
     if (!setUp.establishedAt().isEmpty()) {
@@ -183,6 +193,7 @@
     } else if (controller.call(id) != null || calls.containsKey(id)) {
       refuseDuplicate(connection, id);
     } else if (refusingSetUps || pendingCount >= limits.maxPendingCalls()) {
+      log.refused(id, connection.name(), refusingSetUps ? "terminating" : "too many pending calls");
       connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.CONGESTION));
     } else {
       acceptSetUp(connection, setUp, arrived);
@@ -205,14 +216,15 @@
    * Refuses a set-up that cannot be used, or whose id is in use. The connection is closed after too
    * many of them, unless it has pending calls.
    */
-  private void refuseUnusable(CallerConnection connection, String id) {
+  private void refuseUnusable(CallerConnection connection, String id, String problem) {
+    log.refused(id, connection.name(), problem);
     if (connection.pendingCalls().contains(id)) {
       abandon(id);
     }
     connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.PROTOCOL_ERROR));
     if (connection.countUnusable() >= limits.maxUnusableMessages()
         && connection.pendingCalls().isEmpty()) {
-      connection.close();
+      connection.close("closed after too many unusable set-ups");
     }
   }
 
@@ -224,7 +236,7 @@
   private void refuseDuplicate(CallerConnection connection, String id) {
     counters.increment("set-ups under an id that is held");
     connection.rememberRefusedDuplicate(id);
-    refuseUnusable(connection, id);
+    refuseUnusable(connection, id, "the id is in use");
   }
 
   /**
@@ -233,14 +245,18 @@
    */
   private void resumeEstablished(CallerConnection connection, SetUp setUp) {
     if (controller.call(setUp.id()) != null) {
+      log.ignored(setUp.id(), connection.name(), "named as established, tracked already");
       return;
     }
     if (calls.size() >= limits.maxTrackedCalls()
         || !switches.resume(setUp.id(), setUp.establishedAt())) {
       counters.increment("calls said to stand at a switch that is not known");
+      log.refused(
+          setUp.id(), connection.name(), "stands at an unknown switch " + setUp.establishedAt());
       releases.release(connection, setUp.id(), Cause.TEMPORARY_FAILURE);
       return;
     }
+    log.state(setUp.id(), connection.name(), "resumed at " + setUp.establishedAt());
     calls.put(setUp.id(), new CallerCall(setUp, connection));
     releases.callEstablished(connection);
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
@@ -257,8 +273,16 @@
       abandon(id);
     } else if (connection.wasRefusedAsDuplicate(id)) {
       counters.increment("releases under an id that was another's");
+      log.ignored(id, connection.name(), "release of a call that is another's");
     } else {
       CallerCall call = calls.get(id);
+      if (call == null) {
+        log.ignored(id, connection.name(), "release of a call that is not known");
+      } else if (call.connection.pendingCalls().contains(id)) {
+        log.ignored(id, connection.name(), "release of a call pending on another connection");
+      } else {
+        log.state(id, connection.name(), "released by its caller");
+      }
       if (call != null && call.connection != connection && !call.connection.closed()) {
         counters.increment("calls ended from another connection than theirs, which is open");
       }
@@ -351,7 +375,7 @@
 
   /** Closes all connections; no call is pending any more. */
   void closeAll() {
-    new ArrayList<>(connections).forEach(CallerConnection::close);
+    new ArrayList<>(connections).forEach(connection -> connection.close("terminating"));
   }
 
   /** Number of calls without a final answer. */
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -45,6 +45,7 @@
   private final PlatformSettings settings;
   private final Scheduler scheduler;
   private final Counters counters = new Counters();
+  private final EventRecorder log;
   private final CallController controller;
   private final SwitchLinks switches;
   private final CallerRequests callers;
@@ -61,6 +62,7 @@
   /**
    * Creates a front end with its controller.
    *
+   * @param eventLog receives each step of each call and connection
    * @param policyFactory creates the policy, given the receiver of its actions
    */
   public IsupFrontEnd(
@@ -68,17 +70,19 @@
       Limits limits,
       Transport transport,
       Scheduler scheduler,
+      EventLog eventLog,
       Function<CallPolicy.Actions, CallPolicy> policyFactory) {
     this.settings = settings;
     this.scheduler = scheduler;
     this.transport = transport;
+    this.log = new EventRecorder(scheduler, eventLog);
     this.shutdownWindowMillis = shutdownWindowMillis(settings.policySettings().classes());
     AttemptGuard guard =
         new AttemptGuard(settings.policySettings().guardTime(), settings.drainGraceMillis());
     int localExchange = settings.policySettings().localExchange();
     this.controller =
         new CallController(
-            settings.policySettings(), this, guard, new CallRemovalObserver(), policyFactory);
+            settings.policySettings(), this, guard, new CallObserver(), policyFactory);
     this.switches =
         new SwitchLinks(
             controller,
@@ -86,21 +90,24 @@
             transport,
             limits,
             counters,
+            log,
             localExchange,
             guard,
             settings.seed());
     SetUp.Reader reader =
         new SetUp.Reader(
             settings.classNames(), settings.policySettings().classes(), this::canBeCalled);
-    ReleaseSender releases = new ReleaseSender(scheduler);
+    ReleaseSender releases = new ReleaseSender(scheduler, log);
     this.callers =
-        new CallerRequests(controller, scheduler, limits, reader, releases, switches, counters);
+        new CallerRequests(
+            controller, scheduler, limits, reader, releases, switches, counters, log);
     this.journal =
         new JournalFollower(
             controller,
             scheduler,
             transport,
             counters,
+            log,
             settings.journalAddress(),
             switches::directoryChanged);
     switches.setDescriptionListener(callers::storeDescription);
@@ -123,8 +130,12 @@
         || controller.directory().hasEverListed(number);
   }
 
-  /** Forgets the calls that the controller removes. */
-  private final class CallRemovalObserver implements CallController.Observer {
+  /** Logs each change of a call's state and forgets the calls that the controller removes. */
+  private final class CallObserver extends CallStateLog {
+    CallObserver() {
+      super(log);
+    }
+
     @Override
     public void callRemoved(TrackedCall call) {
       callers.callRemoved(call.call().id());
@@ -153,6 +164,7 @@
 
   /** Applies a new configuration, of which only the journal service's address takes effect. */
   public void reconfigure(PlatformSettings newSettings) {
+    log.state("", newSettings.journalAddress().toString(), "new configuration");
     journal.moveTo(newSettings.journalAddress());
   }
 
@@ -163,6 +175,7 @@
   public void terminate() {
     if (Double.isNaN(terminationRequestedAt)) {
       terminationRequestedAt = scheduler.now();
+      log.state("", "", "terminating, pending calls are served for a time");
       callers.failCallerTests();
     }
   }
@@ -183,6 +196,7 @@
     if (elapsedMillis >= shutdownWindowMillis + RELEASE_PERIOD_MILLIS
         && Double.isNaN(connectionsClosedAt)) {
       connectionsClosedAt = scheduler.now();
+      log.state("", "", "closing all connections");
       transport.stopListening();
       switches.closeAll();
       callers.closeAll();
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -32,6 +32,7 @@
   private final Scheduler scheduler;
   private final Transport transport;
   private final Counters counters;
+  private final EventRecorder log;
   private final Runnable directoryListener;
   private PlatformSettings.Address address;
   private long position;
@@ -43,12 +44,14 @@
       Scheduler scheduler,
       Transport transport,
       Counters counters,
+      EventRecorder log,
       PlatformSettings.Address address,
       Runnable directoryListener) {
     this.controller = controller;
     this.scheduler = scheduler;
     this.transport = transport;
     this.counters = counters;
+    this.log = log;
     this.address = address;
     this.directoryListener = directoryListener;
   }
@@ -88,12 +91,13 @@
 
     private void onUnreadable(String problem) {
       counters.increment("journal lines that cannot be read: " + problem);
-      resubscribe(this, 0);
+      resubscribe(this, 0, "unreadable: " + problem);
     }
 
     @Override
     public void lost(Loss loss) {
       counters.increment("journal connections lost");
+      log.closed("journal", "lost: " + loss);
       if (subscription == this) {
         subscription = null;
         reconnectAfter(loss == Loss.CLOSED ? 0 : retryDelayMillis);
@@ -102,6 +106,7 @@
     }
 
     private void reconnectAfter(double delayMillis) {
+      log.retried("", "journal", "connects again in " + Math.round(delayMillis) + " ms");
       scheduler.schedule(delayMillis, JournalFollower.this::connect);
     }
   }
@@ -124,7 +129,7 @@
   void moveTo(PlatformSettings.Address newAddress) {
     address = newAddress;
     if (subscription != null) {
-      resubscribe(subscription, 0);
+      resubscribe(subscription, 0, "moved to another address");
     }
   }
 
@@ -137,8 +142,9 @@
     subscription.connection.send(("tail " + position + "\n").getBytes(StandardCharsets.US_ASCII));
   }
 
-  private void resubscribe(Subscription failed, double delayMillis) {
+  private void resubscribe(Subscription failed, double delayMillis, String reason) {
     if (subscription == failed) {
+      log.closed("journal", "reset: " + reason);
       failed.connection.reset();
       subscription = null;
       scheduler.schedule(delayMillis, this::connect);
@@ -150,7 +156,7 @@
     if (subscription != null
         && scheduler.now() - subscription.lastLineAt > SILENCE_TIMEOUT_MILLIS) {
       counters.increment("journal connections given up as silent");
-      resubscribe(subscription, 0);
+      resubscribe(subscription, 0, "silent");
     }
   }
 
@@ -161,16 +167,20 @@
    */
   private void apply(JournalLine line) {
     if (line.position() <= position) {
+      if (line.event()) {
+        log.ignored("", "journal", "event " + line.position() + " is applied already");
+      }
       return;
     }
     if (!line.event() || line.position() != position + 1) {
       counters.increment("journal events left out");
       if (subscription != null) {
-        resubscribe(subscription, MIN_RETRY_DELAY_MILLIS);
+        resubscribe(subscription, MIN_RETRY_DELAY_MILLIS, "an event is missing");
       }
       return;
     }
     position = line.position();
+    log.state("", "journal", "event " + position + " applied");
     List<ExchangeDirectory.Entry> entries = new ArrayList<>();
     for (JournalLine.Entry entry : line.entries()) {
       entries.add(
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
@@ -27,6 +27,7 @@
   private static final int MAX_RECENT_PER_CONNECTION = 256;
 
   private final Scheduler scheduler;
+  private final EventRecorder log;
 
   /** Open connections that have brought an established call. */
   private final Set<CallerConnection> connectionsWithCalls = new LinkedHashSet<>();
@@ -42,8 +43,9 @@
    */
   record Release(int cause, double timeMillis) {}
 
-  ReleaseSender(Scheduler scheduler) {
+  ReleaseSender(Scheduler scheduler, EventRecorder log) {
     this.scheduler = scheduler;
+    this.log = log;
   }
 
   /**
@@ -87,6 +89,7 @@
     CallerConnection connection =
         callConnection != null && !callConnection.closed() ? callConnection : mostUsedConnection();
     if (connection == null || !send(connection, id, cause)) {
+      log.state(id, "", "release " + cause + " waits for a connection");
       unsent.put(id, new Release(cause, scheduler.now()));
       if (unsent.size() > MAX_UNSENT) {
         unsent.remove(unsent.keySet().iterator().next());
@@ -114,6 +117,7 @@
     forgetOldReleases(connection);
     boolean sent = connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
     if (sent) {
+      log.state(id, connection.name(), "release " + cause + " sent");
       connection.recentReleases().put(id, new Release(cause, scheduler.now()));
     }
     return sent;
@@ -140,7 +144,12 @@
   void connectionLost(CallerConnection connection) {
     connectionsWithCalls.remove(connection);
     forgetOldReleases(connection);
-    connection.recentReleases().forEach((id, sent) -> release(null, id, sent.cause()));
+    connection.recentReleases().forEach((id, sent) -> resend(connection, id, sent));
     connection.recentReleases().clear();
   }
+
+  private void resend(CallerConnection ended, String id, Release sent) {
+    log.retried(id, ended.name(), "release " + sent.cause() + ": its connection ended");
+    release(null, id, sent.cause());
+  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -13,6 +13,7 @@
 
 /** One connection to a switch, with the set-ups outstanding on it. */
 final class SwitchConnection implements ConnectionListener {
+  private final String name;
   private final SwitchLink link;
   private final LineFramer framer;
   private final Map<String, SwitchLink.OutstandingAttempt> outstanding = new LinkedHashMap<>();
@@ -25,7 +26,8 @@
   /** Clock at which the last part of an incomplete line arrived, ms; NaN if there is none. */
   private double partialLineReceivedAt = Double.NaN;
 
-  SwitchConnection(SwitchLink link, int maxLineBytes, double now) {
+  SwitchConnection(String name, SwitchLink link, int maxLineBytes, double now) {
+    this.name = name;
     this.link = link;
     this.framer = new LineFramer(maxLineBytes);
     this.lastReceivedAt = now;
@@ -36,6 +38,11 @@
     connection = newConnection;
   }
 
+  /** Name in the log. */
+  String name() {
+    return name;
+  }
+
   /** Outstanding set-ups by call id. */
   Map<String, SwitchLink.OutstandingAttempt> outstanding() {
     return outstanding;
@@ -122,10 +129,11 @@
     }
   }
 
-  /** Resets the connection. */
-  void reset() {
+  /** Resets the connection; {@code reason} is for the log. */
+  void reset(String reason) {
     if (!ended) {
       ended = true;
+      link.log().closed(name, "reset: " + reason);
       connection.reset();
     }
   }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -83,6 +83,7 @@
   private double refusingSince = Double.NaN;
 
   private boolean reconnectScheduled;
+  private long openedConnections;
   private double retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
   private final double silenceCheckMillis;
 
@@ -125,6 +126,10 @@
     return entry.id();
   }
 
+  EventRecorder log() {
+    return links.log();
+  }
+
   String address() {
     return entry.address();
   }
@@ -146,7 +151,8 @@
 
   private SwitchConnection connect() {
     SwitchConnection connection =
-        new SwitchConnection(this, links.limits().maxMessageBytes(), links.now());
+        new SwitchConnection(
+            id() + "#" + ++openedConnections, this, links.limits().maxMessageBytes(), links.now());
     connections.add(connection);
     connection.attach(links.transport().connect(address.host(), address.port(), connection));
     return connection;
@@ -206,6 +212,7 @@
 
   void connectionLost(SwitchConnection connection, Loss loss) {
     connections.remove(connection);
+    log().closed(connection.name(), "lost: " + loss);
     if (loss == Loss.TURNED_AWAY && Double.isNaN(refusingSince)) {
       refusingSince = links.now();
     }
@@ -246,8 +253,10 @@
       return;
     }
     reconnectScheduled = true;
+    double spreadDelayMillis = delayMillis * (0.5 + links.nextRandom());
+    log().retried("", id(), "connects again in " + Math.round(spreadDelayMillis) + " ms");
     links.schedule(
-        delayMillis * (0.5 + links.nextRandom()),
+        spreadDelayMillis,
         () -> {
           reconnectScheduled = false;
           if (needsConnection()) {
@@ -267,11 +276,11 @@
    */
   void resetUnreadable(SwitchConnection connection, String problem) {
     links.counters().increment("switch connections reset as unreadable: " + problem);
-    resetConnection(connection);
+    resetConnection(connection, "unreadable: " + problem);
   }
 
-  private void resetConnection(SwitchConnection connection) {
-    connection.reset();
+  private void resetConnection(SwitchConnection connection, String reason) {
+    connection.reset(reason);
     connections.remove(connection);
     endOutstanding(connection, true);
     scheduleReconnect(0);
@@ -286,11 +295,11 @@
     for (SwitchConnection connection : new ArrayList<>(connections)) {
       if (connection.hasStalledLine(now, links.limits().partialLineMillis())) {
         links.counters().increment("switch connections reset as stuck within a line");
-        resetConnection(connection);
+        resetConnection(connection, "stalled within a line");
       } else if (connection.unresponsive()
           && connection.outstanding().isEmpty()
           && connections.size() > 1) {
-        connection.reset();
+        connection.reset("does not answer");
         connections.remove(connection);
       }
     }
@@ -322,7 +331,7 @@
       if (!oldest.outstanding().isEmpty()) {
         return;
       }
-      oldest.reset();
+      oldest.reset("replaced to check the switch");
       connections.remove(oldest);
     }
     connect();
@@ -360,9 +369,10 @@
     links.counters().increment("switches taken as gone: " + reason);
     for (SwitchConnection connection : new ArrayList<>(connections)) {
       if (connection.isOpen()) {
-        resetConnection(connection);
+        resetConnection(connection, "switch declared gone");
       }
     }
+    log().state("", id(), "declared gone: " + reason);
     disconnectCallsBefore(Double.POSITIVE_INFINITY);
   }
 
@@ -376,7 +386,7 @@
   /** Resets all connections and opens no more; established calls continue. */
   void close() {
     inDirectory = false;
-    connections.forEach(SwitchConnection::reset);
+    connections.forEach(connection -> connection.reset("link closed"));
     connections.clear();
   }
 
@@ -410,6 +420,11 @@
   private void send(SwitchConnection connection, OutstandingAttempt attempt) {
     if (!links.maySend(id())) {
       connection.outstanding().remove(attempt.request.call());
+      log()
+          .refused(
+              attempt.request.call(),
+              connection.name(),
+              "drain grace over before the set-up was sent");
       links.attemptEnded(attempt.request, Outcome.REFUSED, Reason.NONE, Load.UNKNOWN);
       return;
     }
@@ -429,7 +444,7 @@
             attempt.setUp.description());
     if (!connection.send(message)) {
       links.counters().increment("switch connections reset as too much waits");
-      links.schedule(0, () -> resetConnection(connection));
+      links.schedule(0, () -> resetConnection(connection, "too much waits"));
     }
   }
 
@@ -467,6 +482,7 @@
         return;
       }
     }
+    log().state(id, id(), "release waits for a connection to the switch");
     unsentReleases.add(id);
   }
 
@@ -506,7 +522,10 @@
       established.put(id, new EstablishedCall(attempt.request.attempt(), attempt.startedAt));
       links.attemptAnswered(attempt.request, message.text());
     } else if (!established.containsKey(id) && cancelledIds.remove(id) && !isOutstanding(id)) {
+      log().state(id, connection.name(), "answered after its cancel, released");
       connection.sendClose(id);
+    } else {
+      log().ignored(id, connection.name(), "answer without an outstanding set-up here");
     }
   }
 
@@ -530,7 +549,10 @@
     }
     EstablishedCall call = established.remove(id);
     if (call != null) {
+      log().state(id, connection.name(), "released by the switch, cause " + message.code());
       links.establishedCallEnded(id, call.attempt(), Outcomes.afterAnswer(message.code()), load);
+    } else {
+      log().ignored(id, connection.name(), "release " + message.code() + " of a call not known");
     }
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -28,6 +28,7 @@
   private final Transport transport;
   private final Limits limits;
   private final Counters counters;
+  private final EventRecorder log;
   private final int localExchange;
   private final AttemptGuard guard;
   private final SplittableRandom random;
@@ -43,6 +44,7 @@
       Transport transport,
       Limits limits,
       Counters counters,
+      EventRecorder log,
       int localExchange,
       AttemptGuard guard,
       long seed) {
@@ -51,6 +53,7 @@
     this.transport = transport;
     this.limits = limits;
     this.counters = counters;
+    this.log = log;
     this.localExchange = localExchange;
     this.guard = guard;
     this.random = new SplittableRandom(seed);
@@ -77,6 +80,10 @@
     return counters;
   }
 
+  EventRecorder log() {
+    return log;
+  }
+
   double now() {
     return scheduler.now();
   }
@@ -140,6 +147,7 @@
   void startAttempt(AttemptRequest request, SetUp setUp) {
     SwitchLink link = links.get(request.nextExchange().id());
     if (link == null || setUp == null) {
+      log.refused(request.call(), request.nextExchange().id(), "no link to that switch");
       scheduler.schedule(
           0, () -> attemptEnded(request, Outcome.REFUSED, Reason.NONE, Load.UNKNOWN));
       return;
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -474,4 +474,47 @@
     assertEquals(3, opened);
     assertFalse(harness.connectionTo(2).closed);
   }
+
+  /** The log must tell why a call has its outcome, also when a message has no effect. */
+  @Test
+  void logsEachIgnoredMessageRefusalAndCloseWithItsReason() {
+    harness.events.clear();
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(6, "unknown"));
+    harness.connectionTo(2).deliver(FrontEndHarness.close(5, 16, ""));
+    caller.deliver(FrontEndHarness.release(4));
+    caller.deliver(FrontEndHarness.setUp(3, CallerMessage.CLASS, "none"));
+    caller.lose(Loss.CLOSED);
+    harness.connectionTo(2).lose(Loss.CLOSED);
+    List<String> logged =
+        harness.events.stream()
+            .map(event -> (event.kind() + " " + event.call() + " " + event.peer()).strip())
+            .toList();
+    assertEquals(
+        List.of(
+            "IGNORED " + FrontEndHarness.callId(6) + " s1#1",
+            "IGNORED " + FrontEndHarness.callId(5) + " s1#1",
+            "IGNORED " + FrontEndHarness.callId(4) + " caller#1",
+            "REFUSAL " + FrontEndHarness.callId(3) + " caller#1",
+            "CLOSE  caller#1",
+            "CLOSE  s1#1",
+            "RETRY  s1"),
+        logged);
+    assertTrue(harness.events.stream().noneMatch(event -> event.reason().isEmpty()));
+  }
+
+  @Test
+  void logsEachChangeOfACallsState() {
+    harness.events.clear();
+    establish(7);
+    harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
+    assertEquals(
+        List.of(
+            "accepted, 3000 ms left",
+            "attempt 0 begins, for 1000 ms",
+            "final answer STANDS after 0 ms",
+            "released by the switch, cause 16",
+            "release 16 sent",
+            "attempt 0 ended: DONE NONE"),
+        harness.events.stream().map(EventLog.Event::reason).toList());
+  }
 }
--- a/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
+++ b/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
@@ -45,6 +45,7 @@
   final List<FakeConnection> connections = new ArrayList<>();
   final PlatformSettings settings;
   final IsupFrontEnd frontEnd;
+  final List<EventLog.Event> events = new ArrayList<>();
   boolean listening = true;
 
   FrontEndHarness(Function<CallPolicy.Actions, CallPolicy> policyFactory) {
@@ -62,7 +63,7 @@
       UnaryOperator<String> change) {
     String config = change.apply(new String(CONFIG, StandardCharsets.UTF_8));
     settings = PlatformSettings.read(config.getBytes(StandardCharsets.UTF_8));
-    frontEnd = new IsupFrontEnd(settings, limits, this, clock, policyFactory);
+    frontEnd = new IsupFrontEnd(settings, limits, this, clock, events::add, policyFactory);
     frontEnd.start();
   }
 
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -44,6 +44,7 @@
 
   private final Path configurationFile;
   private final EventLoop loop;
+  private final EventLogger eventLogger = new EventLogger(LOG::info);
   private final IsupFrontEnd frontEnd;
   private final SocketTransport transport;
   private final ConfigurationReloader reloader = new ConfigurationReloader(this::reload);
@@ -63,6 +64,7 @@
             limits,
             transport,
             new LoopClock(loop),
+            eventLogger,
             actions ->
                 new NestedThresholdPolicy(settings.policySettings(), settings.seed(), actions));
   }
@@ -164,11 +166,13 @@
 
   private void logState() {
     String changedCounters = frontEnd.counters().takeChanges();
-    LOG.info(
-        "{}; faults {}{}",
-        frontEnd.stateSummary(),
-        loop.failedTasks(),
-        changedCounters.isEmpty() ? "" : "; " + changedCounters);
+    StringBuilder line = new StringBuilder();
+    EventLogger.appendTime(line, loop.now());
+    line.append(' ').append(frontEnd.stateSummary());
+    line.append("; faults ").append(loop.failedTasks());
+    line.append("; lines left out ").append(eventLogger.takeSuppressedLines());
+    line.append(changedCounters.isEmpty() ? "" : "; ").append(changedCounters);
+    LOG.info(line.toString());
     loop.after(STATE_LOG_INTERVAL_MILLIS, this::logState);
   }
 }
