--- a/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
+++ b/serve/src/main/java/coveladder/serve/LoopbackPlatform.java
@@ -23,7 +23,7 @@
  * A minimal platform on the loopback interface: one switch, a journal service and one caller, with
  * the controller as a separate process. The build also uses it to record the class archive.
  */
-final class LoopbackPlatform implements AutoCloseable {
+public final class LoopbackPlatform implements AutoCloseable {
   private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
   /** Time allowed for each connection and each message, ms. */
@@ -34,7 +34,9 @@
   private final Path configurationFile;
   private final int controllerPort;
   private final int journalPort;
-  private final Process process;
+  private final List<String> command;
+  private final Path workingFolder;
+  private Process process;
   private Socket journalConnection;
   private Socket switchConnection;
   private Socket callerConnection;
@@ -47,27 +49,65 @@
    * @param command command line of the controller
    */
   LoopbackPlatform(Path folder, List<String> command) throws IOException {
+    this(folder, command, Path.of("."));
+  }
+
+  /**
+   * Starts a controller and waits until it serves.
+   *
+   * @param folder folder for the configuration file
+   * @param command command line of the controller
+   * @param workingFolder folder in which the command runs
+   */
+  public LoopbackPlatform(Path folder, List<String> command, Path workingFolder)
+      throws IOException {
+    this.command = command;
+    this.workingFolder = workingFolder;
     try (ServerSocket portReservation = new ServerSocket(0, 50, LOOPBACK)) {
       controllerPort = portReservation.getLocalPort();
     }
     configurationFile = folder.resolve("config.json");
     journalPort = journalServer.getLocalPort();
     writeConfiguration(journalPort);
-    ProcessBuilder builder = new ProcessBuilder(command);
-    builder.environment().put("RELAY_CONFIG", configurationFile.toString());
-    process = builder.inheritIO().start();
     switchServer.setSoTimeout(TIMEOUT_MILLIS);
     journalServer.setSoTimeout(TIMEOUT_MILLIS);
-    journalConnection = journalServer.accept();
+    startController();
     acceptSwitch();
     connectCaller();
   }
 
+  /** Starts the controller's process; the switch has not accepted its connection yet. */
+  public void startController() throws IOException {
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.directory(workingFolder.toFile());
+    builder.environment().put("RELAY_CONFIG", configurationFile.toAbsolutePath().toString());
+    process = builder.inheritIO().start();
+    journalConnection = journalServer.accept();
+  }
+
+  /** Kills the controller's process by SIGKILL and closes what was connected to it. */
+  public void killController() throws IOException, InterruptedException {
+    process.destroyForcibly().waitFor();
+    callerConnection.close();
+    switchConnection.close();
+    journalConnection.close();
+  }
+
   /** Accepts the controller's next connection to the switch and reports nine free circuits. */
-  void acceptSwitch() throws IOException {
+  public void acceptSwitch() throws IOException {
+    acceptSwitchSilently();
+    sendLoadReport();
+  }
+
+  /** Accepts the controller's next connection to the switch; the switch sends nothing yet. */
+  public void acceptSwitchSilently() throws IOException {
     switchConnection = switchServer.accept();
     switchConnection.setSoTimeout(TIMEOUT_MILLIS);
     switchReader = reader(switchConnection);
+  }
+
+  /** Reports nine free circuits, after which the controller passes tests. */
+  public void sendLoadReport() throws IOException {
     sendLine(
         switchConnection,
         "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"free:9;size:9\"}}");
@@ -80,7 +120,7 @@
   }
 
   /** Connects a new caller; later messages are sent and read on its connection. */
-  Socket connectCaller() throws IOException {
+  public Socket connectCaller() throws IOException {
     callerConnection = new Socket(LOOPBACK, controllerPort);
     callerConnection.setSoTimeout(TIMEOUT_MILLIS);
     return callerConnection;
@@ -146,19 +186,42 @@
   }
 
   /** Sends a set-up from the caller and returns the line that the switch receives. */
-  String sendSetUp(String callId) throws IOException {
+  public String sendSetUp(String callId) throws IOException {
+    sendSetUp(callerConnection, callId, "dest:1;width:1");
+    return readSwitchLine();
+  }
+
+  /** Names a call on a caller's connection as established at the switch already. */
+  public void resumeCall(Socket connection, String callId) throws IOException {
+    sendSetUp(connection, callId, "dest:1;width:1;at:s1");
+  }
+
+  private static void sendSetUp(Socket connection, String callId, String figures)
+      throws IOException {
     Map<Integer, byte[]> parameters = new LinkedHashMap<>();
     parameters.put(CallerMessage.CLASS, "voice".getBytes(StandardCharsets.UTF_8));
     parameters.put(CallerMessage.LEFT, "5000".getBytes(StandardCharsets.UTF_8));
-    parameters.put(CallerMessage.FIGURES, "dest:1;width:1".getBytes(StandardCharsets.UTF_8));
+    parameters.put(CallerMessage.FIGURES, figures.getBytes(StandardCharsets.UTF_8));
     parameters.put(CallerMessage.DESCRIPTION, "offer".getBytes(StandardCharsets.UTF_8));
     CallerMessage setUp = new CallerMessage(CallerMessage.SET_UP, callId, parameters);
-    callerConnection.getOutputStream().write(CallerCodec.encode(setUp));
+    connection.getOutputStream().write(CallerCodec.encode(setUp));
+  }
+
+  /** Sends a message without parameters but the cause on a caller's connection. */
+  public void sendWithCause(Socket connection, int type, String callId, int cause)
+      throws IOException {
+    connection
+        .getOutputStream()
+        .write(CallerCodec.encode(CallerMessage.withCause(type, callId, cause)));
+  }
+
+  /** Returns the next line that the switch receives. */
+  public String readSwitchLine() throws IOException {
     return switchReader.readLine();
   }
 
   /** Answers a set-up at the switch and returns the message that the caller receives. */
-  CallerMessage answerCall(String callId, String description)
+  public CallerMessage answerCall(String callId, String description)
       throws IOException, MalformedException {
     sendLine(
         switchConnection,
@@ -172,6 +235,12 @@
 
   /** Releases a call at the switch and returns the message that the caller receives. */
   CallerMessage releaseCall(String callId, int cause) throws IOException, MalformedException {
+    sendSwitchRelease(callId, cause);
+    return readCallerMessage();
+  }
+
+  /** Sends the release of a call from the switch. */
+  public void sendSwitchRelease(String callId, int cause) throws IOException {
     sendLine(
         switchConnection,
         "{\"msg\":\"close\",\"sid\":\""
@@ -179,16 +248,16 @@
             + "\",\"attrs\":{\"load\":\"free:9;size:9\"},\"code\":"
             + cause
             + "}");
-    return readCallerMessage();
   }
 
-  private CallerMessage readCallerMessage() throws IOException, MalformedException {
+  /** Returns the next message on the connection of the caller that connected last. */
+  public CallerMessage readCallerMessage() throws IOException, MalformedException {
     DataInputStream in = new DataInputStream(callerConnection.getInputStream());
     return CallerCodec.decode(in.readNBytes(in.readUnsignedShort()));
   }
 
   /** Returns the controller's process. */
-  Process process() {
+  public Process process() {
     return process;
   }
 
