A release read before its call is named as established is kept and passed on

Cause: SwitchLink.onClose dropped a release that matched no call; the at that followed 0.3 s later restored a call that had ended. The caller's own release was lost the same way, and an at that crossed a release brought the ended call back. EndedCalls keeps the end of each call not tracked, from either side, for 30 s (the latest time at which a restarted controller is ready) and up to the number of calls that can be tracked. A call that is then named is released towards the side that does not know, and not restored, so the order of the two messages no longer matters.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -31,6 +31,7 @@
   private final ReleaseSender releases;
   private final SwitchLinks switches;
   private final Counters counters;
+  private final EndedCalls endedCalls;
   private final EventRecorder log;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Map<String, CallerCall> calls = new HashMap<>();
@@ -62,6 +63,7 @@
       SetUp.Reader reader,
       ReleaseSender releases,
       SwitchLinks switches,
+      EndedCalls endedCalls,
       Counters counters,
       EventRecorder log) {
     this.controller = controller;
@@ -71,6 +73,7 @@
     this.releases = releases;
     this.switches = switches;
     this.counters = counters;
+    this.endedCalls = endedCalls;
     this.log = log;
   }
 
@@ -207,6 +210,7 @@
     calls.put(setUp.id(), new CallerCall(setUp, connection));
     connection.pendingCalls().add(setUp.id());
     pendingCount++;
+    endedCalls.forget(setUp.id());
     releases.setUpAccepted(connection);
     double unreadMillis = Math.max(0, scheduler.now() - arrived);
     controller.callArrived(setUp.toCall(Math.max(0, setUp.timeLeftMillis() - unreadMillis)));
@@ -248,6 +252,11 @@
       log.ignored(setUp.id(), connection.name(), "named as established, tracked already");
       return;
     }
+    EndedCalls.End end = endedCalls.find(setUp.id());
+    if (end != null) {
+      finishEndedCall(connection, setUp, end);
+      return;
+    }
     if (calls.size() >= limits.maxTrackedCalls()
         || !switches.resume(setUp.id(), setUp.establishedAt())) {
       counters.increment("calls said to stand at a switch that is not known");
@@ -262,6 +271,24 @@
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
   }
 
+  /** Tells the side that does not know yet of the end of a call that was named as established. */
+  private void finishEndedCall(CallerConnection connection, SetUp setUp, EndedCalls.End end) {
+    log.state(setUp.id(), connection.name(), "named as established, ended by " + end.releasedBy());
+    releases.callEstablished(connection);
+    switch (end.releasedBy()) {
+      case SWITCH -> releases.release(connection, setUp.id(), end.cause());
+      case CALLER -> {
+        switches.releaseUntracked(setUp.id(), setUp.establishedAt());
+        rememberCallerRelease(setUp.id(), EndedCalls.ReleasedBy.CALLER_AND_SWITCH_TOLD);
+      }
+      case CALLER_AND_SWITCH_TOLD -> {}
+    }
+  }
+
+  private void rememberCallerRelease(String id, EndedCalls.ReleasedBy releasedBy) {
+    endedCalls.remember(id, releasedBy, Cause.NORMAL_CLEARING);
+  }
+
   /**
    * Handles a release: it abandons a pending call on the connection of its set-up, and ends an
    * established call on any connection on which no set-up with that id was refused as a duplicate.
@@ -277,11 +304,13 @@
     } else {
       CallerCall call = calls.get(id);
       if (call == null) {
-        log.ignored(id, connection.name(), "release of a call that is not known");
+        log.ignored(id, connection.name(), "release of a call not known, remembered");
+        rememberUnknownRelease(id);
       } else if (call.connection.pendingCalls().contains(id)) {
         log.ignored(id, connection.name(), "release of a call pending on another connection");
       } else {
         log.state(id, connection.name(), "released by its caller");
+        rememberCallerRelease(id, EndedCalls.ReleasedBy.CALLER_AND_SWITCH_TOLD);
       }
       if (call != null && call.connection != connection && !call.connection.closed()) {
         counters.increment("calls ended from another connection than theirs, which is open");
@@ -290,6 +319,13 @@
     }
   }
 
+  /** Remembers a caller's release of a call not tracked, unless its end is known already. */
+  private void rememberUnknownRelease(String id) {
+    boolean known = endedCalls.find(id) != null;
+    rememberCallerRelease(
+        id, known ? EndedCalls.ReleasedBy.CALLER_AND_SWITCH_TOLD : EndedCalls.ReleasedBy.CALLER);
+  }
+
   private void abandon(String id) {
     markAnswered(id);
     calls.remove(id);
@@ -351,7 +387,8 @@
   /** Releases an established call toward its caller. */
   void release(String id, boolean disconnected) {
     CallerCall call = calls.remove(id);
-    int cause = disconnected ? Cause.TEMPORARY_FAILURE : Cause.NORMAL_CLEARING;
+    int cause = Outcomes.releaseCause(disconnected);
+    endedCalls.remember(id, EndedCalls.ReleasedBy.SWITCH, cause);
     releases.release(call == null ? null : call.connection, id, cause);
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -83,6 +83,7 @@
     this.controller =
         new CallController(
             settings.policySettings(), this, guard, new CallObserver(), policyFactory);
+    EndedCalls endedCalls = new EndedCalls(scheduler, limits.maxTrackedCalls());
     this.switches =
         new SwitchLinks(
             controller,
@@ -91,6 +92,7 @@
             limits,
             counters,
             log,
+            endedCalls,
             localExchange,
             guard,
             settings.seed());
@@ -100,7 +102,7 @@
     ReleaseSender releases = new ReleaseSender(scheduler, log);
     this.callers =
         new CallerRequests(
-            controller, scheduler, limits, reader, releases, switches, counters, log);
+            controller, scheduler, limits, reader, releases, switches, endedCalls, counters, log);
     this.journal =
         new JournalFollower(
             controller,
--- a/isupfront/src/main/java/coveladder/isupfront/Outcomes.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Outcomes.java
@@ -43,6 +43,11 @@
     return cause == Cause.NORMAL_CLEARING ? Outcome.DONE : Outcome.RESET;
   }
 
+  /** Cause of the release sent to the caller of an established call. */
+  static int releaseCause(boolean disconnected) {
+    return disconnected ? Cause.TEMPORARY_FAILURE : Cause.NORMAL_CLEARING;
+  }
+
   /** Cause sent to the caller of a call that was not established. */
   static int cause(FinalAnswer answer) {
     Reason reason = answer.reason();
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -23,7 +23,8 @@
  * <p>The answer (READY) or refusal (CLOSE) of a set-up is accepted only on the connection on which
  * the set-up was sent. The release (CLOSE) of an established call is accepted on any connection to
  * the switch, and so are load reports (STATUS) and probe results (PROBED). A CLOSE that matches
- * neither a set-up of its connection nor an established call is ignored.
+ * neither a set-up of its connection nor an established call is remembered for a time, as its call
+ * may yet be named as established.
  */
 final class SwitchLink {
   /** Mean delay before a broken connection is replaced. */
@@ -486,6 +487,12 @@
     unsentReleases.add(id);
   }
 
+  /** Releases a call that is not tracked but was named as established at this switch. */
+  void releaseUntracked(String id) {
+    resume(id);
+    release(id);
+  }
+
   /** Tracks a call that a caller reported as established at this switch. */
   void resume(String id) {
     established.put(id, new EstablishedCall(0, links.now()));
@@ -552,7 +559,7 @@
       log().state(id, connection.name(), "released by the switch, cause " + message.code());
       links.establishedCallEnded(id, call.attempt(), Outcomes.afterAnswer(message.code()), load);
     } else {
-      log().ignored(id, connection.name(), "release " + message.code() + " of a call not known");
+      links.unknownCallReleased(connection, id, message.code());
     }
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -29,6 +29,7 @@
   private final Limits limits;
   private final Counters counters;
   private final EventRecorder log;
+  private final EndedCalls endedCalls;
   private final int localExchange;
   private final AttemptGuard guard;
   private final SplittableRandom random;
@@ -45,6 +46,7 @@
       Limits limits,
       Counters counters,
       EventRecorder log,
+      EndedCalls endedCalls,
       int localExchange,
       AttemptGuard guard,
       long seed) {
@@ -54,6 +56,7 @@
     this.limits = limits;
     this.counters = counters;
     this.log = log;
+    this.endedCalls = endedCalls;
     this.localExchange = localExchange;
     this.guard = guard;
     this.random = new SplittableRandom(seed);
@@ -186,6 +189,14 @@
     return link != null;
   }
 
+  /** Releases a call that is not tracked but was named as established at a switch. */
+  void releaseUntracked(String call, String exchange) {
+    SwitchLink link = links.get(exchange);
+    if (link != null) {
+      link.releaseUntracked(call);
+    }
+  }
+
   void probe(ExchangeDirectory.Entry exchange, double sentAt) {
     SwitchLink link = links.get(exchange.id());
     if (link != null) {
@@ -215,6 +226,13 @@
     establishedCallEnded(call, attempt, Outcome.RESET, Load.UNKNOWN);
   }
 
+  /** A switch released a call that is not tracked; its caller may yet name it as established. */
+  void unknownCallReleased(SwitchConnection connection, String call, int cause) {
+    log.ignored(call, connection.name(), "release " + cause + " of a call not known, remembered");
+    boolean normal = Outcomes.afterAnswer(cause) == Outcome.DONE;
+    endedCalls.remember(call, EndedCalls.ReleasedBy.SWITCH, Outcomes.releaseCause(!normal));
+  }
+
   void loadReported(String exchange, Load load) {
     controller.unsolicitedLoadReported(exchange, load);
   }
