A call named on another connection is released there

Callers would see: a call named again on a new connection, after the old one was cut off, released on the old one, which stays open and silent: never heard. Cause: resumeEstablished passed over an at for a tracked call and kept the old connection. Evidence: ResumedCallsTest, failed before (release on the old connection, nothing on the new). The connection that last named an established call is now the one of the call; a pending call keeps its own.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -44,10 +44,13 @@
   /** Whether each new set-up is refused. */
   private boolean refusingSetUps;
 
-  /** A pending or established call; {@code connection} is the one on which its set-up arrived. */
+  /**
+   * A pending or established call; {@code connection} is the one on which its set-up arrived, or on
+   * which its caller last named it as established.
+   */
   private static final class CallerCall {
     final SetUp setUp;
-    final CallerConnection connection;
+    CallerConnection connection;
     String description = "";
 
     CallerCall(SetUp setUp, CallerConnection connection) {
@@ -249,7 +252,7 @@
    */
   private void resumeEstablished(CallerConnection connection, SetUp setUp) {
     if (controller.call(setUp.id()) != null) {
-      log.ignored(setUp.id(), connection.name(), "named as established, tracked already");
+      moveToConnection(connection, setUp.id());
       return;
     }
     EndedCalls.End end = endedCalls.find(setUp.id());
@@ -271,6 +274,23 @@
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
   }
 
+  /**
+   * Makes the connection on which a tracked call was named that of the call: the earlier one may
+   * have been cut off, which nothing tells. A pending call stays where its answer is awaited.
+   */
+  private void moveToConnection(CallerConnection connection, String id) {
+    CallerCall call = calls.get(id);
+    if (call == null || call.connection.pendingCalls().contains(id)) {
+      log.ignored(id, connection.name(), "named as established while it is pending");
+      return;
+    }
+    log.state(id, connection.name(), "named as established, tracked already");
+    if (call.connection != connection) {
+      call.connection = connection;
+      releases.callEstablished(connection);
+    }
+  }
+
   /** Tells the side that does not know yet of the end of a call that was named as established. */
   private void finishEndedCall(CallerConnection connection, SetUp setUp, EndedCalls.End end) {
     log.state(setUp.id(), connection.name(), "named as established, ended by " + end.releasedBy());
--- a/isupfront/src/test/java/coveladder/isupfront/ResumedCallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/ResumedCallsTest.java
@@ -91,6 +91,29 @@
     assertNothingIsTracked();
   }
 
+  /** A connection that was cut off stays open and silent; its caller names the call on another. */
+  @Test
+  void aCallNamedOnAnotherConnectionIsReleasedThere() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    toSwitch.deliver(FrontEndHarness.ready(7, "answer"));
+    caller.takeSent();
+    FrontEndHarness.FakeConnection other = harness.connectCaller();
+    other.deliver(resume(7, "s1"));
+    toSwitch.deliver(FrontEndHarness.close(7, 16, ""));
+    assertEquals(List.of("12 7 cause 16"), other.takeSent());
+    assertEquals(List.of(), caller.takeSent());
+  }
+
+  @Test
+  void aPendingCallNamedOnAnotherConnectionIsAnsweredOnItsOwn() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    FrontEndHarness.FakeConnection other = harness.connectCaller();
+    other.deliver(resume(7, "s1"));
+    toSwitch.deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer"), caller.takeSent());
+    assertEquals(List.of(), other.takeSent());
+  }
+
   @Test
   void aRepeatedReleaseFromTheSwitchDoesNotReachTheCallerTwice() {
     caller.deliver(resume(7, "s1"));
