A release that overtakes its call's answer on another connection ends the call

Callers would see: a call that ended at once stays up. Cause: a release that came on another connection to the switch while the set-up was outstanding matched neither map in SwitchLink.onClose and was dropped; the answer read afterwards established a call that had ended. Evidence: CallsTest, failed before (answer only). The release is kept with its attempt, and acts after the answer; it is not kept if an earlier attempt of the call at this switch was cancelled, as it may be that attempt's.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -96,12 +96,22 @@
     /** Clock at which the controller started the attempt, ms. */
     final double startedAt;
 
+    /** Whether an earlier attempt of the call at this switch was cancelled. */
+    final boolean repeated;
+
     boolean sent;
 
-    OutstandingAttempt(AttemptRequest request, SetUp setUp, double startedAt) {
+    /**
+     * The release that a switch sent on another connection before the answer was read here; null if
+     * there is none.
+     */
+    SwitchMessage earlyRelease;
+
+    OutstandingAttempt(AttemptRequest request, SetUp setUp, double startedAt, boolean repeated) {
       this.request = request;
       this.setUp = setUp;
       this.startedAt = startedAt;
+      this.repeated = repeated;
     }
   }
 
@@ -399,10 +409,10 @@
    * is never sent.
    */
   void startAttempt(AttemptRequest request, SetUp setUp) {
-    OutstandingAttempt attempt = new OutstandingAttempt(request, setUp, links.now());
+    boolean repeated = cancelledIds.remove(request.call());
+    OutstandingAttempt attempt = new OutstandingAttempt(request, setUp, links.now(), repeated);
     SwitchConnection connection = chooseConnection();
     connection.outstanding().put(request.call(), attempt);
-    cancelledIds.remove(request.call());
     links.schedule(0, () -> sendIfOutstanding(connection, attempt));
   }
 
@@ -528,6 +538,9 @@
       connection.outstanding().remove(id);
       established.put(id, new EstablishedCall(attempt.request.attempt(), attempt.startedAt));
       links.attemptAnswered(attempt.request, message.text());
+      if (attempt.earlyRelease != null) {
+        endEstablished(connection, attempt.earlyRelease);
+      }
     } else if (!established.containsKey(id) && cancelledIds.remove(id) && !isOutstanding(id)) {
       log().state(id, connection.name(), "answered after its cancel, released");
       connection.sendClose(id);
@@ -537,7 +550,18 @@
   }
 
   private boolean isOutstanding(String id) {
-    return connections.stream().anyMatch(connection -> connection.outstanding().containsKey(id));
+    return outstandingAttempt(id) != null;
+  }
+
+  /** Returns the outstanding attempt of a call on any connection; null if there is none. */
+  private OutstandingAttempt outstandingAttempt(String id) {
+    for (SwitchConnection connection : connections) {
+      OutstandingAttempt attempt = connection.outstanding().get(id);
+      if (attempt != null) {
+        return attempt;
+      }
+    }
+    return null;
   }
 
   /**
@@ -554,8 +578,33 @@
       links.attemptEnded(attempt.request, Outcomes.beforeAnswer(message.code()), reason, load);
       return;
     }
+    OutstandingAttempt elsewhere = outstandingAttempt(id);
+    if (elsewhere != null) {
+      keepEarlyRelease(connection, elsewhere, message);
+    } else {
+      endEstablished(connection, message);
+    }
+  }
+
+  /**
+   * Keeps a release that arrives before the answer, which is still unread on the connection of the
+   * set-up. After an earlier attempt of the call at this switch the release may be that attempt's.
+   */
+  private void keepEarlyRelease(
+      SwitchConnection connection, OutstandingAttempt attempt, SwitchMessage message) {
+    boolean kept = attempt.sent && !attempt.repeated;
+    String text = "release " + message.code() + " before the answer on another connection";
+    log().ignored(message.sid(), connection.name(), text + (kept ? ", kept" : ""));
+    if (kept) {
+      attempt.earlyRelease = message;
+    }
+  }
+
+  private void endEstablished(SwitchConnection connection, SwitchMessage message) {
+    String id = message.sid();
     EstablishedCall call = established.remove(id);
     if (call != null) {
+      Load load = Outcomes.parseLoad(message.attrs().get("load"));
       log().state(id, connection.name(), "released by the switch, cause " + message.code());
       links.establishedCallEnded(id, call.attempt(), Outcomes.afterAnswer(message.code()), load);
     } else {
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -517,4 +517,44 @@
             "attempt 0 ended: DONE NONE"),
         harness.events.stream().map(EventLog.Event::reason).toList());
   }
+
+  /** Opens a second connection to the first switch and returns it. */
+  private FrontEndHarness.FakeConnection openSecondConnection() {
+    caller.deliver(FrontEndHarness.setUp(90));
+    caller.deliver(FrontEndHarness.setUp(91));
+    FrontEndHarness.FakeConnection second = harness.connectionTo(2);
+    second.establish();
+    return second;
+  }
+
+  @Test
+  void aReleaseReadOnAnotherConnectionBeforeTheAnswerEndsTheCallAfterIt() {
+    FrontEndHarness.FakeConnection first = harness.connectionTo(2);
+    caller.deliver(FrontEndHarness.setUp(7));
+    FrontEndHarness.FakeConnection second = openSecondConnection();
+    caller.takeSent();
+    second.deliver(FrontEndHarness.close(7, 16, ""));
+    assertEquals(List.of(), caller.takeSent());
+    first.deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer", "12 7 cause 16"), caller.takeSent());
+  }
+
+  /** The release may be that of the earlier attempt, whose answer crossed its cancel. */
+  @Test
+  void aReleaseOfAnEarlierAttemptDoesNotEndTheCallOfALaterOne() {
+    FrontEndHarness.FakeConnection first = harness.connectionTo(2);
+    caller.deliver(FrontEndHarness.setUp(7));
+    FrontEndHarness.FakeConnection second = openSecondConnection();
+    harness.clock.advance(500);
+    policy.actions.cancel(FrontEndHarness.callId(7), 0);
+    harness.clock.advance(400);
+    first.deliver(FrontEndHarness.status(30));
+    first.takeSent();
+    caller.deliver(FrontEndHarness.setUp(7));
+    caller.takeSent();
+    boolean sentOnFirst = first.takeSent().contains("OPEN 7 voice offer7");
+    (sentOnFirst ? second : first).deliver(FrontEndHarness.close(7, 16, ""));
+    (sentOnFirst ? first : second).deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer"), caller.takeSent());
+  }
 }
