--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -32,6 +32,7 @@
   private final SwitchLinks switches;
   private final Counters counters;
   private final EndedCalls endedCalls;
+  private final DeferredResumptions deferredResumptions;
   private final EventRecorder log;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Map<String, CallerCall> calls = new HashMap<>();
@@ -77,6 +78,7 @@
     this.switches = switches;
     this.counters = counters;
     this.endedCalls = endedCalls;
+    this.deferredResumptions = new DeferredResumptions(scheduler, limits.maxTrackedCalls());
     this.log = log;
   }
 
@@ -195,7 +197,7 @@
       return;
     }
     if (!setUp.establishedAt().isEmpty()) {
-      resumeEstablished(connection, setUp);
+      resumeEstablished(connection, setUp, true);
     } else if (controller.call(id) != null || calls.containsKey(id)) {
       refuseDuplicate(connection, id);
     } else if (refusingSetUps || pendingCount >= limits.maxPendingCalls()) {
@@ -249,8 +251,10 @@
   /**
    * Resumes a call that was established before this controller started; its caller expects no
    * answer.
+   *
+   * @param mayDefer whether the call may wait until its switch is in the exchange directory
    */
-  private void resumeEstablished(CallerConnection connection, SetUp setUp) {
+  private void resumeEstablished(CallerConnection connection, SetUp setUp, boolean mayDefer) {
     if (controller.call(setUp.id()) != null) {
       moveToConnection(connection, setUp.id());
       return;
@@ -260,6 +264,12 @@
       finishEndedCall(connection, setUp, end);
       return;
     }
+    boolean switchMayFollow = mayDefer && switches.mayBecomeKnown(setUp.establishedAt());
+    if (switchMayFollow && deferredResumptions.add(connection, setUp)) {
+      log.state(setUp.id(), connection.name(), "waits to be resumed: its switch is not listed");
+      releases.callEstablished(connection);
+      return;
+    }
     if (calls.size() >= limits.maxTrackedCalls()
         || !switches.resume(setUp.id(), setUp.establishedAt())) {
       counters.increment("calls said to stand at a switch that is not known");
@@ -274,6 +284,20 @@
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
   }
 
+  /** Resumes calls whose switch is listed by now, and releases those whose switch is gone. */
+  void directoryConfirmed() {
+    deferredResumptions.takeAll().forEach(this::resumeDeferred);
+  }
+
+  /** Ends the wait of calls that were deferred for too long. */
+  void expireDeferredResumptions() {
+    deferredResumptions.takeExpired().forEach(this::resumeDeferred);
+  }
+
+  private void resumeDeferred(DeferredResumptions.Deferred deferred) {
+    resumeEstablished(deferred.connection(), deferred.setUp(), false);
+  }
+
   /**
    * Makes the connection on which a tracked call was named that of the call: the earlier one may
    * have been cut off, which nothing tells. A pending call stays where its answer is awaited.
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -111,7 +111,8 @@
             counters,
             log,
             settings.journalAddress(),
-            switches::directoryChanged);
+            switches::directoryChanged,
+            callers::directoryConfirmed);
     switches.setDescriptionListener(callers::storeDescription);
   }
 
@@ -154,6 +155,7 @@
   private void runPeriodicChecks() {
     switches.checkConnections();
     callers.closeSilentConnections();
+    callers.expireDeferredResumptions();
     journal.resubscribeIfSilent();
     advanceShutdown();
     scheduler.schedule(CHECK_INTERVAL_MILLIS, this::runPeriodicChecks);
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -34,11 +34,18 @@
   private final Counters counters;
   private final EventRecorder log;
   private final Runnable directoryListener;
+  private final Runnable confirmationListener;
   private PlatformSettings.Address address;
   private long position;
   private Subscription subscription;
   private double retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
+  /**
+   * Creates a follower that is not subscribed yet.
+   *
+   * @param directoryListener called after each change of the exchange directory
+   * @param confirmationListener called when the service has confirmed that no event is missing
+   */
   JournalFollower(
       CallController controller,
       Scheduler scheduler,
@@ -46,7 +53,8 @@
       Counters counters,
       EventRecorder log,
       PlatformSettings.Address address,
-      Runnable directoryListener) {
+      Runnable directoryListener,
+      Runnable confirmationListener) {
     this.controller = controller;
     this.scheduler = scheduler;
     this.transport = transport;
@@ -54,6 +62,7 @@
     this.log = log;
     this.address = address;
     this.directoryListener = directoryListener;
+    this.confirmationListener = confirmationListener;
   }
 
   /** One connection to the journal service. */
@@ -169,6 +178,8 @@
     if (line.position() <= position) {
       if (line.event()) {
         log.ignored("", "journal", "event " + line.position() + " is applied already");
+      } else if (line.position() == position) {
+        confirmationListener.run();
       }
       return;
     }
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
@@ -53,6 +53,9 @@
    * and sends the waiting releases on it.
    */
   void callEstablished(CallerConnection connection) {
+    if (connection.closed()) {
+      return;
+    }
     if (connection.countEstablished() == 1) {
       connectionsWithCalls.add(connection);
     }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -179,6 +179,14 @@
     }
   }
 
+  /**
+   * Whether a switch is not known, but may be one that the exchange directory does not have yet.
+   */
+  boolean mayBecomeKnown(String exchange) {
+    ExchangeDirectory directory = controller.directory();
+    return directory.byId(exchange) == null && Double.isInfinite(directory.closedSince(exchange));
+  }
+
   /** Resumes a call established at a switch; returns false if there is no link to that switch. */
   boolean resume(String call, String exchange) {
     SwitchLink link = links.get(exchange);
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -266,6 +266,7 @@
     harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
     assertEquals(List.of("12 7 cause 16"), caller.takeSent());
     caller.deliver(FrontEndHarness.setUp(8, CallerMessage.FIGURES, "dest:1;width:1;via:-1;at:s9"));
+    harness.connectionTo(8500).deliver("1");
     assertEquals(List.of("12 8 cause 41"), caller.takeSent());
   }
 
--- a/isupfront/src/test/java/coveladder/isupfront/ResumedCallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/ResumedCallsTest.java
@@ -1,6 +1,7 @@
 package coveladder.isupfront;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import coveladder.isup.CallerMessage;
@@ -167,4 +168,88 @@
     other.deliver(resume(7, "s1"));
     assertEquals(List.of("12 7 cause 16"), other.takeSent());
   }
+
+  private static String directoryEvent(int position, String state) {
+    return "{\"pos\":"
+        + position
+        + ",\"hosts\":{\"generation\":"
+        + position
+        + ",\"reset\":false,\"instances\":[{\"instanceId\":\"s9\","
+        + "\"hostPort\":\"127.0.0.2:9\",\"cell\":1,\"lifecycle\":\""
+        + state
+        + "\",\"startedAtMs\":0}]}}";
+  }
+
+  @Test
+  void aCallNamedBeforeItsSwitchIsListedIsResumedOnceItIs() {
+    caller.deliver(resume(7, "s9"));
+    assertEquals(List.of(), caller.takeSent());
+    harness.connectionTo(8500).deliver(directoryEvent(2, "in_service"));
+    harness.connectionTo(8500).deliver("2");
+    harness.connectionTo(9).establish();
+    assertEquals(List.of(), caller.takeSent());
+    harness.connectionTo(9).deliver(FrontEndHarness.close(7, 16, ""));
+    assertEquals(List.of("12 7 cause 16"), caller.takeSent());
+  }
+
+  @Test
+  void aReleaseByTheNewSwitchWhileItsCallWaitsIsPassedOn() {
+    caller.deliver(resume(7, "s9"));
+    harness.connectionTo(8500).deliver(directoryEvent(2, "in_service"));
+    harness.connectionTo(9).establish();
+    harness.connectionTo(9).deliver(FrontEndHarness.close(7, 16, ""));
+    harness.connectionTo(8500).deliver("2");
+    assertEquals(List.of("12 7 cause 16"), caller.takeSent());
+  }
+
+  @Test
+  void aCallerReleaseWhileItsCallWaitsIsPassedOnToTheNewSwitch() {
+    caller.deliver(resume(7, "s9"));
+    caller.deliver(FrontEndHarness.release(7));
+    harness.connectionTo(8500).deliver(directoryEvent(2, "in_service"));
+    harness.connectionTo(8500).deliver("2");
+    harness.connectionTo(9).establish();
+    assertEquals(List.of("16 7"), caller.takeSent());
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(9).takeSent());
+    assertNothingIsTracked();
+  }
+
+  @Test
+  void aCallAtASwitchThatIsGoneIsReleasedAtOnce() {
+    harness.connectionTo(8500).deliver(directoryEvent(2, "in_service"));
+    harness.connectionTo(8500).deliver(directoryEvent(3, "terminated"));
+    caller.deliver(resume(7, "s9"));
+    assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+  }
+
+  /** What a journal service that broke off has to tell counts as told after 4 s. */
+  @Test
+  void aCallAtAnUnknownSwitchIsReleasedWithinFourSecondsWithoutAJournal() {
+    harness.connectionTo(8500).lose(Loss.CLOSED);
+    caller.deliver(resume(7, "s9"));
+    harness.clock.advance(3_900);
+    assertEquals(List.of(), caller.takeSent());
+    harness.clock.advance(200);
+    assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+  }
+
+  @Test
+  void theNumberOfWaitingCallsIsBounded() {
+    DeferredResumptions waiting = new DeferredResumptions(harness.clock, 0);
+    assertFalse(
+        waiting.add(null, new SetUp("7", 0, "", 0, "", "", 0, 1, false, false, false, "s9")));
+    assertEquals(0, waiting.size());
+  }
+
+  @Test
+  void aCallResumedAfterItsConnectionEndedIsReleasedOnAnother() {
+    FrontEndHarness.FakeConnection regular = harness.connectCaller();
+    regular.deliver(resume(6, "s1"));
+    caller.deliver(resume(7, "s9"));
+    caller.deliver(resume(8, "s9"));
+    caller.deliver(resume(9, "s9"));
+    caller.lose(Loss.CLOSED);
+    harness.connectionTo(8500).deliver("1");
+    assertEquals(List.of("12 7 cause 41", "12 8 cause 41", "12 9 cause 41"), regular.takeSent());
+  }
 }
