A message in pieces no longer closes a caller's connection that rested or has calls pending

Callers would see: a connection closed under a pending set-up, or between the two pieces of the next message after 2 s without one. Cause: closeSilentConnections measured from the last complete message and closed any connection with part of a message, also with calls pending. The time now runs from the beginning of the message on a connection never used, and from its last octets on a used one; with calls pending it is not closed.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -28,6 +28,11 @@
   /** Clock at which the last complete message arrived, or the connection was accepted, ms. */
   private double lastMessageAt;
 
+  /** Clock at which the incomplete message began, ms; NaN if there is none. */
+  private double partialMessageSince = Double.NaN;
+
+  private double lastOctetsAt;
+
   private boolean used;
   private boolean closed;
   private int unusableMessages;
@@ -108,15 +113,23 @@
     return now - lastMessageAt;
   }
 
-  /** Whether part of a message has arrived. */
-  boolean hasPartialMessage() {
-    return framer.hasPartialMessage();
+  /**
+   * Whether a message is incomplete and nothing of it arrived for longer than the time-out. On a
+   * connection that was never used, the whole message must arrive within the time-out.
+   */
+  boolean hasStalledMessage(double now, double timeoutMillis) {
+    double since = used ? lastOctetsAt : partialMessageSince;
+    return framer.hasPartialMessage() && now - since > timeoutMillis;
   }
 
   @Override
   public void received(byte[] octets, double arrived) {
     try {
+      lastOctetsAt = arrived;
       framer.feed(octets, body -> onMessage(body, arrived));
+      if (framer.hasPartialMessage() && Double.isNaN(partialMessageSince)) {
+        partialMessageSince = arrived;
+      }
     } catch (MalformedException e) {
       requests.closeUnreadable(this, e.getMessage());
     }
@@ -127,6 +140,7 @@
       return;
     }
     lastMessageAt = arrived;
+    partialMessageSince = Double.NaN;
     try {
       requests.onMessage(this, CallerCodec.decode(body), arrived);
     } catch (MalformedException e) {
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -131,15 +131,15 @@
   }
 
   /**
-   * Closes connections that completed no message for too long, if part of a message has arrived, or
-   * if they have no pending call and never brought a test or an established call.
+   * Closes connections without pending calls on which a message is incomplete for too long, or that
+   * completed none for too long and never brought a test or an established call.
    */
   void closeSilentConnections() {
     double now = scheduler.now();
     for (CallerConnection connection : new ArrayList<>(connections)) {
-      boolean unused = !connection.used() && connection.pendingCalls().isEmpty();
-      if (connection.silenceMillis(now) > limits.callerSilenceMillis()
-          && (connection.hasPartialMessage() || unused)) {
+      boolean stalled = connection.hasStalledMessage(now, limits.callerSilenceMillis());
+      boolean silent = connection.silenceMillis(now) > limits.callerSilenceMillis();
+      if (connection.pendingCalls().isEmpty() && (stalled || silent && !connection.used())) {
         counters.increment("caller links closed as silent");
         connection.close("closed as silent");
       }
--- a/isupfront/src/main/java/coveladder/isupfront/Limits.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Limits.java
@@ -8,9 +8,9 @@
  * @param maxPendingCalls maximum number of calls without a final answer
  * @param maxTrackedCalls number of pending and established calls at which no further call is
  *     resumed
- * @param callerSilenceMillis time without a complete message after which a caller connection is
- *     closed, ms; applies if part of a message has arrived, or if the connection has no pending
- *     call and never brought a test or an established call
+ * @param callerSilenceMillis time after which a caller connection without pending calls is closed,
+ *     ms: since an incomplete message began, or without a complete message if the connection never
+ *     brought a test or an established call
  * @param maxUnusableMessages number of set-ups that are unusable or have the id of another call,
  *     after which a caller connection is closed
  * @param maxConnectionsPerSwitch maximum number of connections to one switch
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -201,4 +201,76 @@
         harness.frontEnd.stateSummary().contains("caller connections 1,"),
         harness.frontEnd.stateSummary());
   }
+
+  private void establish(int id) {
+    caller.deliver(FrontEndHarness.setUp(id));
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(id, "answer"));
+    caller.takeSent();
+  }
+
+  /** A connection that rested since its last call must not be closed between two pieces. */
+  @Test
+  void aMessageInTwoPiecesAfterALongRestIsServed() {
+    establish(7);
+    harness.clock.advance(3_000);
+    byte[] setUp = FrontEndHarness.setUp(8);
+    caller.deliver(Arrays.copyOf(setUp, 10));
+    harness.clock.advance(300);
+    assertFalse(caller.closed);
+    caller.deliver(Arrays.copyOfRange(setUp, 10, setUp.length));
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(8, "answer"));
+    assertEquals(List.of("9 8answer"), caller.takeSent());
+  }
+
+  @Test
+  void aSlowlyWrittenMessageDoesNotEndThePendingCallsOfItsConnection() {
+    harness =
+        new FrontEndHarness(ScriptedPolicy::new, new Limits(16_384, 4, 5, 6, 500, 3, 3, 300, 6_000))
+            .openSwitchConnections();
+    caller = harness.connectCaller();
+    caller.deliver(FrontEndHarness.setUp(7));
+    byte[] setUp = FrontEndHarness.setUp(8);
+    for (int i = 0; i < 8; i++) {
+      caller.deliver(new byte[] {setUp[i]});
+      harness.clock.advance(110);
+    }
+    assertFalse(caller.closed);
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer"), caller.takeSent());
+  }
+
+  @Test
+  void aMessageThatIsNeverCompletedEndsItsConnection() {
+    establish(7);
+    caller.deliver(Arrays.copyOf(FrontEndHarness.setUp(8), 10));
+    harness.clock.advance(1_900);
+    assertFalse(caller.closed);
+    harness.clock.advance(300);
+    assertTrue(caller.closed);
+  }
+
+  @Test
+  void aSlowlyWrittenMessageOnAUsedConnectionIsServed() {
+    establish(7);
+    byte[] setUp = FrontEndHarness.setUp(8);
+    int piece = setUp.length / 4;
+    for (int i = 0; i < 4; i++) {
+      harness.clock.advance(900);
+      caller.deliver(Arrays.copyOfRange(setUp, i * piece, i < 3 ? (i + 1) * piece : setUp.length));
+    }
+    assertFalse(caller.closed);
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(8, "answer"));
+    assertEquals(List.of("9 8answer"), caller.takeSent());
+  }
+
+  @Test
+  void aSlowlyWrittenFirstMessageEndsItsConnection() {
+    FrontEndHarness.FakeConnection slow = harness.connectCaller();
+    byte[] setUp = FrontEndHarness.setUp(8);
+    for (int i = 0; i < 5; i++) {
+      slow.deliver(new byte[] {setUp[i]});
+      harness.clock.advance(500);
+    }
+    assertTrue(slow.closed);
+  }
 }
