A connection closed for room is closed after the input that has already arrived

Cause: acceptCaller closed at once, and SocketTransport drops the input of closed connections. Evidence: BadCallersTest, failed before. The close now waits for the next turn, spares connections that have a call pending by then, and never the one just accepted.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -85,8 +85,9 @@
   // ---- Connections --------------------------------------------------------------------------
 
   /**
-   * Accepts a connection. At the limit, the least used connection is closed, or the new one if all
-   * others have pending calls.
+   * Accepts a connection. Above the limit, the least used connection is closed, unless all have
+   * pending calls; the transport's own limit bounds these. The close waits for the input that has
+   * already arrived: a set-up or release in it is served, and its connection kept.
    */
   ConnectionListener acceptCaller(Connection accepted) {
     CallerConnection connection =
@@ -96,26 +97,32 @@
             accepted,
             limits.maxMessageBytes(),
             scheduler.now());
-    if (connections.size() >= limits.maxCallerConnections()) {
-      CallerConnection leastUsed = leastUsedConnection();
-      (leastUsed == null ? connection : leastUsed).close("closed for room");
-      counters.increment("caller links closed for room");
-    }
-    if (!connection.closed()) {
-      connections.add(connection);
+    connections.add(connection);
+    if (connections.size() > limits.maxCallerConnections()) {
+      scheduler.schedule(0, () -> closeForRoom(connection));
     }
     return connection;
   }
 
+  /** Closes the least used connection if there are too many; the one just accepted is kept. */
+  private void closeForRoom(CallerConnection accepted) {
+    CallerConnection leastUsed = leastUsedConnection(accepted);
+    if (connections.size() > limits.maxCallerConnections() && leastUsed != null) {
+      counters.increment("caller links closed for room");
+      leastUsed.close("closed for room");
+    }
+  }
+
   /**
    * Returns the connection without pending calls that brought the fewest established calls, and of
-   * those the longest silent one; null if there is none. This protects regular callers from many
-   * connections that stay open and send little.
+   * those the longest silent one; null if all others have pending calls. This protects regular
+   * callers from many connections that stay open and send little.
    */
-  private CallerConnection leastUsedConnection() {
+  private CallerConnection leastUsedConnection(CallerConnection excluded) {
     CallerConnection leastUsed = null;
     for (CallerConnection connection : connections) {
-      if (connection.pendingCalls().isEmpty()
+      if (connection != excluded
+          && connection.pendingCalls().isEmpty()
           && (leastUsed == null || isLessUsed(connection, leastUsed))) {
         leastUsed = connection;
       }
@@ -135,6 +142,7 @@
    * completed none for too long and never brought a test or an established call.
    */
   void closeSilentConnections() {
+    closeForRoom(null);
     double now = scheduler.now();
     for (CallerConnection connection : new ArrayList<>(connections)) {
       boolean stalled = connection.hasStalledMessage(now, limits.callerSilenceMillis());
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -273,4 +273,23 @@
     }
     assertTrue(slow.closed);
   }
+
+  /**
+   * The input of a connection that is to be closed for room has arrived, but waits for the loop.
+   */
+  @Test
+  void aSetUpReadBeforeItsConnectionIsClosedForRoomIsServed() {
+    FrontEndHarness.FakeConnection silent = harness.connectCaller();
+    harness.clock.advance(10);
+    for (int i = 0; i < 2; i++) {
+      harness.connectCaller();
+    }
+    establish(7);
+    harness.connectCallerWithoutTurn();
+    silent.deliverWithoutTurn(FrontEndHarness.setUp(8));
+    harness.clock.advance(0);
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(8, "answer"));
+    assertFalse(silent.closed);
+    assertEquals(List.of("9 8answer"), silent.takeSent());
+  }
 }
--- a/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
+++ b/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
@@ -242,8 +242,15 @@
     return String.format("%016x", id);
   }
 
-  /** Opens a connection from a caller. */
+  /** Opens a connection from a caller and runs the tasks that are due. */
   FakeConnection connectCaller() {
+    FakeConnection connection = connectCallerWithoutTurn();
+    clock.advance(0);
+    return connection;
+  }
+
+  /** Opens a connection from a caller without running the tasks that are due. */
+  FakeConnection connectCallerWithoutTurn() {
     FakeConnection connection = new FakeConnection(0, null);
     connection.listener = frontEnd.acceptCaller(connection);
     return connection;
