A switch connection reset as unresponsive is replaced

Callers would see: an established call that ended is not released. Cause: checkConnections reset an unresponsive connection without scheduling another; a release that the switch had written there is repeated only on the next connection opened. Evidence: CallsTest, failed before (one connection left of two). It is now reset like any other, with a replacement while calls are established.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -310,8 +310,7 @@
       } else if (connection.unresponsive()
           && connection.outstanding().isEmpty()
           && connections.size() > 1) {
-        connection.reset("does not answer");
-        connections.remove(connection);
+        resetConnection(connection, "does not answer");
       }
     }
     if (isInUse()
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -558,4 +558,20 @@
     (sentOnFirst ? first : second).deliver(FrontEndHarness.ready(7, "answer"));
     assertEquals(List.of("9 7answer"), caller.takeSent());
   }
+
+  /** The switch may have written a release there, which it repeats on the next connection only. */
+  @Test
+  void replacesAConnectionThatWasResetAsUnresponsive() {
+    FrontEndHarness.FakeConnection first = harness.connectionTo(2);
+    establish(7);
+    harness.clock.advance(1);
+    openSecondConnection();
+    harness.clock.advance(1_200);
+    assertTrue(first.closed);
+    long open =
+        harness.connections.stream()
+            .filter(connection -> connection.port == 2 && !connection.closed)
+            .count();
+    assertEquals(2, open);
+  }
 }
