--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -70,6 +70,7 @@
     private final LineFramer framer = new LineFramer(MAX_LINE_BYTES);
     private Connection connection;
     private double lastLineAt = scheduler.now();
+    private boolean receivedOctets;
 
     @Override
     public boolean urgent() {
@@ -78,6 +79,7 @@
 
     @Override
     public void received(byte[] octets, double arrived) {
+      receivedOctets = true;
       try {
         framer.feed(octets, this::onLine);
       } catch (MalformedException e) {
@@ -109,7 +111,8 @@
       log.closed("journal", "lost: " + loss);
       if (subscription == this) {
         subscription = null;
-        reconnectAfter(loss == Loss.CLOSED ? 0 : retryDelayMillis);
+        boolean firstBreak = receivedOctets && retryDelayMillis == MIN_RETRY_DELAY_MILLIS;
+        reconnectAfter(firstBreak ? 0 : retryDelayMillis);
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
       }
     }
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -292,4 +292,22 @@
         java.util.Arrays.copyOf(FrontEndHarness.CONFIG, FrontEndHarness.CONFIG.length / 2);
     assertThrows(WireException.class, () -> PlatformSettings.read(truncatedConfig));
   }
+
+  /** A service that accepts connections and closes them at once must not be called in a loop. */
+  @Test
+  void aJournalThatClosesEachConnectionAtOnceIsCalledAtAPace() {
+    harness.connectionTo(8500).deliver("1");
+    harness.clock.advance(10);
+    for (double elapsed = 0; elapsed < 5_000; elapsed += 10) {
+      FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
+      if (journal != null) {
+        journal.establish();
+        journal.lose(Loss.CLOSED);
+      }
+      harness.clock.advance(10);
+    }
+    long opened =
+        harness.connections.stream().filter(connection -> connection.port == 8500).count();
+    assertTrue(opened > 15 && opened < 40, "journal connections in 5 s: " + opened);
+  }
 }
