Releases lost with a switch connection are sent again, and none is left standing

Callers would see: circuits taken by calls that are over, up to their longest hold. Cause: a release written just before its connection to the switch ended was forgotten; so was a set-up that may have been answered on a connection that was lost, and the calls of a switch declared gone that was only cut off. Releases of the last 0.5 s are sent again, as towards callers; one is sent for a set-up reset with its connection and for calls given up with their switch, when it is reached again within 30 s.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -8,15 +8,25 @@
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import coveladder.isupfront.Transport.Loss;
+import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** One connection to a switch, with the set-ups outstanding on it. */
 final class SwitchConnection implements ConnectionListener {
+  /** Age up to which a release is sent again if its connection ends. */
+  private static final double RESEND_WINDOW_MILLIS = 500;
+
+  /** Maximum number of sent releases remembered. */
+  private static final int MAX_RECENT_RELEASES = 256;
+
   private final String name;
   private final SwitchLink link;
   private final LineFramer framer;
   private final Map<String, SwitchLink.OutstandingAttempt> outstanding = new LinkedHashMap<>();
+  private final Map<String, Double> recentReleases = new LinkedHashMap<>();
   private Connection connection;
   private boolean open;
   private boolean ended;
@@ -83,6 +93,30 @@
     return connection.send(SwitchCodec.encode(message));
   }
 
+  /** Releases an established call; the release is remembered until it has surely arrived. */
+  void sendRelease(String id, double now) {
+    sendClose(id);
+    recentReleases.remove(id);
+    recentReleases.put(id, now);
+    Iterator<Double> oldest = recentReleases.values().iterator();
+    while (now - oldest.next() > RESEND_WINDOW_MILLIS
+        || recentReleases.size() > MAX_RECENT_RELEASES) {
+      oldest.remove();
+    }
+  }
+
+  /** Returns the calls released here so lately that the switch may not have read it. */
+  List<String> unconfirmedReleases(double now) {
+    List<String> unconfirmed = new ArrayList<>();
+    recentReleases.forEach(
+        (id, sentAt) -> {
+          if (now - sentAt <= RESEND_WINDOW_MILLIS) {
+            unconfirmed.add(id);
+          }
+        });
+    return unconfirmed;
+  }
+
   /** Cancels a set-up or releases an established call. */
   void sendClose(String id) {
     send(SwitchMessage.withCode(SwitchMessage.Kind.CLOSE, id, Cause.NORMAL_CLEARING));
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -10,11 +10,10 @@
 import coveladder.isupfront.Transport.Loss;
 import coveladder.wire.ReportReader;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The signalling link to one switch: its connections, the set-ups outstanding on them, and the
@@ -59,6 +58,9 @@
   /** Maximum number of cancelled set-ups remembered, to release a late answer to one. */
   private static final int MAX_CANCELLED_IDS = 2_048;
 
+  /** Time for which a release waits for a connection to the switch. */
+  private static final double UNSENT_LIFETIME_MILLIS = 30_000;
+
   /** Call id of a probe. */
   private static final String NO_CALL_ID = "0000000000000000";
 
@@ -67,7 +69,10 @@
   private final List<SwitchConnection> connections = new ArrayList<>();
   private final Map<String, EstablishedCall> established = new LinkedHashMap<>();
   private final RecentIds cancelledIds = new RecentIds(MAX_CANCELLED_IDS);
-  private final Set<String> unsentReleases = new LinkedHashSet<>();
+
+  /** Clock at which each release that waits for a connection began to wait, by call id. */
+  private final Map<String, Double> unsentReleases = new LinkedHashMap<>();
+
   private ExchangeDirectory.Entry entry;
   private boolean stateKnown;
   private boolean inDirectory = true;
@@ -212,10 +217,10 @@
     refusingSince = Double.NaN;
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     recordReceived(links.now());
-    for (String id : new ArrayList<>(unsentReleases)) {
-      unsentReleases.remove(id);
-      connection.sendClose(id);
-    }
+    dropOldUnsentReleases();
+    List<String> waiting = new ArrayList<>(unsentReleases.keySet());
+    unsentReleases.clear();
+    waiting.stream().filter(this::isFree).forEach(id -> connection.sendRelease(id, links.now()));
     for (OutstandingAttempt attempt : new ArrayList<>(connection.outstanding().values())) {
       send(connection, attempt);
     }
@@ -231,6 +236,7 @@
       links.counters().increment("switch connections lost");
     }
     endOutstanding(connection, loss == Loss.CLOSED);
+    resendReleases(connection);
     scheduleReconnect(loss == Loss.CLOSED ? RECONNECT_DELAY_MILLIS : nextRetryDelay());
   }
 
@@ -252,6 +258,10 @@
     for (OutstandingAttempt attempt : attempts) {
       Outcome outcome = wasOpen && attempt.sent ? Outcome.RESET : Outcome.REFUSED;
       links.attemptEnded(attempt.request, outcome, Reason.NONE, Load.UNKNOWN);
+      if (outcome == Outcome.RESET) {
+        // The switch may have answered: nobody would end that call.
+        sendRelease(attempt.request.call());
+      }
     }
   }
 
@@ -278,7 +288,8 @@
 
   private boolean needsConnection() {
     boolean belowLimit = connections.size() < links.limits().maxConnectionsPerSwitch();
-    return inDirectory && (connections.isEmpty() || belowLimit && !established.isEmpty());
+    boolean inUse = !established.isEmpty() || !unsentReleases.isEmpty();
+    return inDirectory && (connections.isEmpty() || belowLimit && inUse);
   }
 
   /**
@@ -294,6 +305,7 @@
     connection.reset(reason);
     connections.remove(connection);
     endOutstanding(connection, true);
+    resendReleases(connection);
     scheduleReconnect(0);
   }
 
@@ -370,7 +382,8 @@
 
   /**
    * Treats the switch as gone: resets its open connections, with the set-ups outstanding on them,
-   * and disconnects its established calls. Has no effect on a switch that is not in use.
+   * and disconnects its established calls. These are released there if it is reached again after
+   * all. Has no effect on a switch that is not in use.
    */
   private void declareGone(String reason) {
     if (!isInUse()) {
@@ -383,6 +396,7 @@
       }
     }
     log().state("", id(), "declared gone: " + reason);
+    established.keySet().forEach(this::keepUnsent);
     disconnectCallsBefore(Double.POSITIVE_INFINITY);
   }
 
@@ -486,14 +500,55 @@
     if (established.remove(id) == null) {
       return;
     }
+    sendRelease(id);
+  }
+
+  /**
+   * Whether a release would end nothing that is wanted: no set-up of the call is out here, nor is
+   * it established, as it may be by a later attempt than the one that is to be released.
+   */
+  private boolean isFree(String id) {
+    OutstandingAttempt attempt = outstandingAttempt(id);
+    return (attempt == null || !attempt.sent) && !established.containsKey(id);
+  }
+
+  /** Sends a release on an open connection, or on the next one opened. */
+  private void sendRelease(String id) {
+    if (!isFree(id)) {
+      return;
+    }
     for (SwitchConnection connection : connections) {
       if (connection.isOpen() && !connection.unresponsive()) {
-        connection.sendClose(id);
+        connection.sendRelease(id, links.now());
         return;
       }
     }
+    keepUnsent(id);
+    scheduleReconnect(RECONNECT_DELAY_MILLIS);
+  }
+
+  private void keepUnsent(String id) {
     log().state(id, id(), "release waits for a connection to the switch");
-    unsentReleases.add(id);
+    unsentReleases.remove(id);
+    unsentReleases.put(id, links.now());
+    dropOldUnsentReleases();
+  }
+
+  private void dropOldUnsentReleases() {
+    Iterator<Double> oldest = unsentReleases.values().iterator();
+    while (oldest.hasNext()
+        && (links.now() - oldest.next() > UNSENT_LIFETIME_MILLIS
+            || unsentReleases.size() > links.limits().maxTrackedCalls())) {
+      oldest.remove();
+    }
+  }
+
+  /** Sends releases again that were written just before their connection ended. */
+  private void resendReleases(SwitchConnection ended) {
+    for (String id : ended.unconfirmedReleases(links.now())) {
+      log().retried(id, ended.name(), "release: its connection ended");
+      sendRelease(id);
+    }
   }
 
   /** Releases a call that is not tracked but was named as established at this switch. */
@@ -542,7 +597,7 @@
       }
     } else if (!established.containsKey(id) && cancelledIds.remove(id) && !isOutstanding(id)) {
       log().state(id, connection.name(), "answered after its cancel, released");
-      connection.sendClose(id);
+      connection.sendRelease(id, links.now());
     } else {
       log().ignored(id, connection.name(), "answer without an outstanding set-up here");
     }
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -574,4 +574,99 @@
             .count();
     assertEquals(2, open);
   }
+
+  @Test
+  void aReleaseSentJustBeforeTheSwitchConnectionEndedIsSentAgain() {
+    establish(7);
+    caller.deliver(FrontEndHarness.release(7));
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+    harness.clock.advance(100);
+    harness.connectionTo(2).lose(Loss.CLOSED);
+    harness.clock.advance(100);
+    harness.connectionTo(2).establish();
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
+
+  @Test
+  void aReleaseSentLongBeforeTheSwitchConnectionEndedIsNotSentAgain() {
+    establish(7);
+    caller.deliver(FrontEndHarness.release(7));
+    harness.clock.advance(600);
+    harness.connectionTo(2).lose(Loss.CLOSED);
+    harness.clock.advance(100);
+    harness.connectionTo(2).establish();
+    assertEquals(List.of(), harness.connectionTo(2).takeSent());
+  }
+
+  @Test
+  void aReleaseOfALateAnswerSentJustBeforeTheConnectionEndedIsSentAgain() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    harness.clock.advance(1_000);
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "late"));
+    harness.connectionTo(2).lose(Loss.CLOSED);
+    harness.clock.advance(100);
+    harness.connectionTo(2).establish();
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
+
+  /** The later attempt has the same id: a release meant for the earlier one would end it. */
+  @Test
+  void aReleaseOfAnEarlierAttemptIsNotSentAgainWhileALaterOneIsOut() {
+    FrontEndHarness.FakeConnection first = harness.connectionTo(2);
+    caller.deliver(FrontEndHarness.setUp(7));
+    FrontEndHarness.FakeConnection second = openSecondConnection();
+    harness.clock.advance(1_000);
+    first.deliver(FrontEndHarness.ready(7, "late"));
+    second.takeSent();
+    second.deliver(FrontEndHarness.status(30));
+    for (int id = 80; id < 83; id++) {
+      caller.deliver(FrontEndHarness.setUp(id));
+    }
+    caller.deliver(FrontEndHarness.setUp(7));
+    boolean sentOnSecond = second.takeSent().contains("OPEN 7 voice offer7");
+    FrontEndHarness.FakeConnection other = sentOnSecond ? second : first;
+    first.lose(Loss.CLOSED);
+    harness.clock.advance(50);
+    assertTrue(sentOnSecond);
+    assertFalse(other.takeSent().contains("CLOSE 7 16"));
+  }
+
+  /**
+   * The switch may have answered on the connection that was lost, and nobody would end the call.
+   */
+  @Test
+  void aSetUpLostWithItsConnectionIsReleasedOnTheNext() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    harness.connectionTo(2).lose(Loss.CLOSED);
+    harness.clock.advance(100);
+    harness.connectionTo(2).establish();
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
+
+  @Test
+  void theCallsOfASwitchDeclaredGoneAreReleasedThereWhenItIsReachedAgain() {
+    establish(7);
+    refuseConnectionsFor(7_500);
+    assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+    while (harness.connectionTo(2) == null) {
+      harness.clock.advance(50);
+    }
+    harness.connectionTo(2).establish();
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
+
+  @Test
+  void aReleaseWaitsForAtMostThirtySecondsForTheSwitch() {
+    establish(7);
+    establish(8);
+    refuseConnectionsFor(1_000);
+    caller.deliver(FrontEndHarness.release(7));
+    refuseConnectionsFor(30_500);
+    caller.deliver(FrontEndHarness.release(8));
+    while (harness.connectionTo(2) == null) {
+      harness.clock.advance(50);
+    }
+    harness.connectionTo(2).establish();
+    assertFalse(harness.connectionTo(2).takeSent().contains("CLOSE 7 16"));
+  }
 }
