A call that cannot be resumed for want of room is released at its switch too

Callers would see: a call released towards its caller that stays up at its switch. Cause: the refusal in resumeEstablished told one side only. Evidence: BadCallersTest, failed before.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -281,8 +281,8 @@
     if (calls.size() >= limits.maxTrackedCalls()
         || !switches.resume(setUp.id(), setUp.establishedAt())) {
       counters.increment("calls said to stand at a switch that is not known");
-      log.refused(
-          setUp.id(), connection.name(), "stands at an unknown switch " + setUp.establishedAt());
+      log.refused(setUp.id(), connection.name(), "cannot be resumed at " + setUp.establishedAt());
+      switches.releaseUntracked(setUp.id(), setUp.establishedAt());
       releases.release(connection, setUp.id(), Cause.TEMPORARY_FAILURE);
       return;
     }
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -292,4 +292,13 @@
     assertFalse(silent.closed);
     assertEquals(List.of("9 8answer"), silent.takeSent());
   }
+
+  @Test
+  void aCallThatCannotBeResumedForWantOfRoomIsReleasedOnBothSides() {
+    for (int id = 1; id <= 7; id++) {
+      caller.deliver(FrontEndHarness.setUp(id, CallerMessage.FIGURES, "dest:1;width:1;at:s1"));
+    }
+    assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
 }
