A malformed first message closes its connection also before the loop has accepted it

Cause: Stream.close on the selector thread did nothing while the loop had not yet run Streams.accepted, as the stream had no connection. Evidence: SocketNodeTest with the loop held back, failed before (no close in 10 s). The wish to close is now kept and carried out when the connection is there. The check of closed connections also tells a time-out from a close.

--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -25,10 +25,13 @@
   private final AtomicLong totalQueuedBytes;
   private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
   private final AtomicLong queuedBytes = new AtomicLong();
-  private Connection<SocketAddress> connection;
+  private volatile Connection<SocketAddress> connection;
   private Object attachment;
   private boolean closeRequested;
 
+  /** Whether the connection must be closed as soon as it is established. */
+  private volatile boolean closedBeforeOpen;
+
   /**
    * Creates a stream that has no connection yet.
    *
@@ -80,6 +83,9 @@
     while (!unsent.isEmpty()) {
       transmit(unsent.poll());
     }
+    if (closedBeforeOpen) {
+      connection.terminateSilently();
+    }
   }
 
   /**
@@ -148,10 +154,12 @@
     }
   }
 
-  /** Closes the connection at once, if it is established. */
+  /** Closes the connection at once, or as soon as it is established; from any thread. */
   void close() {
-    if (connection != null) {
-      connection.terminateSilently();
+    closedBeforeOpen = true;
+    Connection<SocketAddress> established = connection;
+    if (established != null) {
+      established.terminateSilently();
     }
   }
 
--- a/net/src/test/java/coveladder/net/SocketNodeTest.java
+++ b/net/src/test/java/coveladder/net/SocketNodeTest.java
@@ -16,13 +16,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Tests a node on real sockets of the loopback interface. */
 class SocketNodeTest {
@@ -195,10 +198,35 @@
     }
   }
 
+  /** The selector reads the message before the loop has accepted the connection. */
+  @Test
+  @Timeout(30)
+  void malformedMessageReadBeforeTheLoopAcceptsItsConnectionClosesIt() throws Exception {
+    CountDownLatch unblock = new CountDownLatch(1);
+    loop.put(() -> awaitUninterruptibly(unblock));
+    try (Socket tcp = new Socket(HOST, node.port())) {
+      tcp.getOutputStream().write(new byte[LIMITS.maxHeadBytes() + 10]);
+      tcp.setSoTimeout(10_000);
+      Thread.sleep(300);
+      unblock.countDown();
+      assertConnectionClosed(tcp.getInputStream());
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static void assertConnectionClosed(InputStream in) {
     int read;
     try {
       read = in.read();
+    } catch (SocketTimeoutException e) {
+      read = 0;
     } catch (IOException e) {
       read = -1;
     }
