--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -27,12 +27,6 @@
   /** Time given to the selector threads after a stall, ns. */
   private static final long STALL_YIELD_NANOS = 10_000_000L;
 
-  /** Maximum time between two yields to the selector threads while tasks are queued, ns. */
-  private static final long MAX_BUSY_NANOS = 40_000_000L;
-
-  /** Time given to the selector threads in such a yield, ns. */
-  private static final long YIELD_NANOS = 1_000_000L;
-
   private final long originNanos;
   private final ArrayBlockingQueue<Runnable> taskQueue;
   private final ConcurrentLinkedQueue<Runnable> urgentTasks = new ConcurrentLinkedQueue<>();
@@ -45,7 +39,6 @@
   private long nextSequenceNumber;
   private long failedTasks;
   private long lastDispatchNanos = System.nanoTime();
-  private long lastYieldNanos = lastDispatchNanos;
 
   /** Handle of a scheduled timer. */
   public interface Timer {
@@ -166,18 +159,6 @@
     }
   }
 
-  /**
-   * Prepares for a task or timer: yields to the selector threads if the last yield is too long ago,
-   * then runs the priority tasks.
-   */
-  private void yieldThenRunPriorityTasks() {
-    if (System.nanoTime() - lastYieldNanos > MAX_BUSY_NANOS) {
-      LockSupport.parkNanos(YIELD_NANOS);
-      lastYieldNanos = System.nanoTime();
-    }
-    runPriorityTasks();
-  }
-
   /**
    * Sets a timer, on the loop thread or before the loop starts.
    *
@@ -229,12 +210,11 @@
     Runnable task = taskQueue.poll();
     if (task == null) {
       task = taskQueue.poll(waitNanos, TimeUnit.NANOSECONDS);
-      lastYieldNanos = System.nanoTime();
     }
     waitWhilePaused();
     yieldAfterStall(startNanos, waitNanos);
     for (int i = 0; task != null && i < MAX_BATCH_TASKS; i++) {
-      yieldThenRunPriorityTasks();
+      runPriorityTasks();
       runGuarded(task);
       runTimers();
       task = i + 1 < MAX_BATCH_TASKS ? taskQueue.poll() : null;
@@ -282,7 +262,7 @@
     while (due != null && due.timeMillis <= now()) {
       timers.poll();
       if (due.task != null) {
-        yieldThenRunPriorityTasks();
+        runPriorityTasks();
       }
       if (due.task != null) {
         runGuarded(due.task);
