--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -21,12 +21,6 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /** Delay of an iteration above which the process counts as stalled, ns. */
-  private static final long STALL_THRESHOLD_NANOS = 100_000_000L;
-
-  /** Time given to the selector threads after a stall, ns. */
-  private static final long STALL_YIELD_NANOS = 10_000_000L;
-
   private final long originNanos;
   private final ArrayBlockingQueue<Runnable> taskQueue;
   private final ConcurrentLinkedQueue<Runnable> urgentTasks = new ConcurrentLinkedQueue<>();
@@ -38,7 +32,6 @@
   private volatile boolean running = true;
   private long nextSequenceNumber;
   private long failedTasks;
-  private long lastDispatchNanos = System.nanoTime();
 
   /** Handle of a scheduled timer. */
   public interface Timer {
@@ -206,13 +199,12 @@
 
   private void runOnce() throws InterruptedException {
     long waitNanos = nanosUntilNextTimer();
-    long startNanos = System.nanoTime();
     Runnable task = taskQueue.poll();
     if (task == null) {
       task = taskQueue.poll(waitNanos, TimeUnit.NANOSECONDS);
     }
     waitWhilePaused();
-    yieldAfterStall(startNanos, waitNanos);
+    runPriorityTasks();
     for (int i = 0; task != null && i < MAX_BATCH_TASKS; i++) {
       runPriorityTasks();
       runGuarded(task);
@@ -231,24 +223,6 @@
     return Math.max(0, Math.min(50_000_000L, (long) ((next.timeMillis - now()) * NANOS_PER_MILLI)));
   }
 
-  /**
-   * Yields to the selector threads after a stall, then runs the priority tasks. When this thread
-   * stalled, the selectors stalled too, and input that arrived meanwhile is unread: they get time
-   * to read it, so that priority tasks run before timers and tasks act on outdated state.
-   *
-   * @param startNanos start of this iteration, ns
-   * @param waitNanos longest time for which this iteration meant to wait for a task, ns
-   */
-  private void yieldAfterStall(long startNanos, long waitNanos) {
-    long delayNanos =
-        Math.max(System.nanoTime() - startNanos - waitNanos, startNanos - lastDispatchNanos);
-    if (delayNanos > STALL_THRESHOLD_NANOS) {
-      LockSupport.parkNanos(STALL_YIELD_NANOS);
-    }
-    runPriorityTasks();
-    lastDispatchNanos = System.nanoTime();
-  }
-
   private void waitWhilePaused() {
     while (running
         && System.nanoTime() - pausedUntilNanos < 0
