A connection attempt that timed out is cancelled and cannot come up later

Callers would see: calls that are over not released after a cut of the network. Dropping a stream now cancels the attempt, which closes the socket. StreamsTest failed before (the connection came up after the give-up).

--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.concurrent.Future;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -93,9 +95,17 @@
     return UDPNIOBindingHandler.builder(udp).processor(chain).build().bind(address);
   }
 
+  /** Starts to connect; cancelling the result closes the socket, so that it never comes up. */
   @SuppressWarnings("rawtypes")
-  void connect(FilterChain chain, InetSocketAddress to, CompletionHandler<Connection> completion) {
-    TCPNIOConnectorHandler.builder(tcp).processor(chain).build().connect(to, null, completion);
+  Future<Connection> connect(
+      FilterChain chain, InetSocketAddress to, CompletionHandler<Connection> completion) {
+    GrizzlyFuture<Connection> attempt =
+        TCPNIOConnectorHandler.builder(tcp)
+            .processor(chain)
+            .build()
+            .connect(to, (SocketAddress) null);
+    attempt.addCompletionHandler(completion);
+    return attempt;
   }
 
   @Override
--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -6,6 +6,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -26,6 +27,7 @@
   private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
   private final AtomicLong queuedBytes = new AtomicLong();
   private volatile Connection<SocketAddress> connection;
+  private Future<?> connectAttempt;
   private Object attachment;
   private boolean closeRequested;
 
@@ -77,6 +79,18 @@
     return connection;
   }
 
+  /** Sets the attempt to connect that is in progress. */
+  void connecting(Future<?> attempt) {
+    connectAttempt = attempt;
+  }
+
+  /** Ends the attempt to connect: a connection that came up later would be taken by nobody. */
+  void cancelConnecting() {
+    if (connectAttempt != null) {
+      connectAttempt.cancel(true);
+    }
+  }
+
   /** Records the established connection and writes the bytes queued for it. */
   void opened(Connection<SocketAddress> newConnection) {
     connection = newConnection;
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -145,7 +145,7 @@
       return stream;
     }
     loop.after(limits.connectTimeoutMillis(), () -> dropIfNotOpen(stream, Loss.NOT_MADE));
-    sockets.connect(chain, to, new ConnectHandler(stream));
+    stream.connecting(sockets.connect(chain, to, new ConnectHandler(stream)));
     return stream;
   }
 
@@ -176,6 +176,8 @@
   private boolean remove(Stream stream) {
     if (stream.isOpen()) {
       streamsByConnection.remove(stream.connection());
+    } else {
+      stream.cancelConnecting();
     }
     stream.discardUnsent();
     return streams.remove(stream);
--- a/net/src/test/java/coveladder/net/StreamsTest.java
+++ b/net/src/test/java/coveladder/net/StreamsTest.java
@@ -1,6 +1,7 @@
 package coveladder.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -135,6 +137,30 @@
     }
   }
 
+  /** The peer would write to a connection that this side has given up, and nobody would read. */
+  @Test
+  @Timeout(30)
+  void aConnectionThatWasNotMadeInTimeDoesNotComeUpLater() throws Exception {
+    Streams.Limits limits = new Streams.Limits(3, 2, 1_000, 200);
+    Streams impatient = new Streams(sockets, loop, limits, new RecordingListener());
+    try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK);
+        Socket first = new Socket(LOOPBACK, server.getLocalPort());
+        Socket second = new Socket(LOOPBACK, server.getLocalPort())) {
+      loop.put(() -> impatient.connect(new InetSocketAddress(LOOPBACK, server.getLocalPort())));
+      assertEquals("lost NOT_MADE", nextEvent());
+      assertEquals(first.getLocalPort(), acceptPort(server));
+      assertEquals(second.getLocalPort(), acceptPort(server));
+      server.setSoTimeout(4_000);
+      assertThrows(SocketTimeoutException.class, () -> acceptPort(server));
+    }
+  }
+
+  private static int acceptPort(ServerSocket server) throws IOException {
+    try (Socket accepted = server.accept()) {
+      return accepted.getPort();
+    }
+  }
+
   /** Blocks the loop until the returned latch is counted down. */
   private CountDownLatch blockLoop() throws InterruptedException {
     CountDownLatch unblock = new CountDownLatch(1);
