--- a/soak/src/main/java/coveladder/soak/RuleChecker.java
+++ b/soak/src/main/java/coveladder/soak/RuleChecker.java
@@ -254,6 +254,9 @@
   private void onResumption(Call call, CallerWrote wrote) {
     call.controller = wrote.controller();
     call.knownSince = wrote.timeMillis();
+    if (call.stands && call.releasedByCaller) {
+      expectSwitchRelease(call, wrote.timeMillis());
+    }
     boolean owed = !Double.isNaN(call.overAt) && !call.releaseSeen && !call.releasedByCaller;
     if (owed && call.overAtLeastSince >= process(call.controller).startedAt) {
       double namedDueAt = wrote.timeMillis() + RELEASE_MILLIS + SLACK_MILLIS;
@@ -271,10 +274,19 @@
       call.releasedByCaller = true;
       call.callerReleaseAt = wrote.timeMillis();
       call.releaseDueAt = Double.NaN;
-      boolean reachable = !cutSince.containsKey(wrote.controller() + call.standsAt);
-      if (Double.isNaN(call.overAt) && reachable) {
-        call.switchReleaseDueAt = wrote.timeMillis() + RELEASE_MILLIS + SLACK_MILLIS;
-      }
+      expectSwitchRelease(call, wrote.timeMillis());
+    }
+  }
+
+  /**
+   * Expects a call that its caller released to be released at its switch, if this run of the
+   * process was told of the call, and so of its switch.
+   */
+  private void expectSwitchRelease(Call call, double timeMillis) {
+    boolean reachable = !cutSince.containsKey(call.controller + call.standsAt);
+    boolean known = call.knownSince >= process(call.controller).startedAt;
+    if (Double.isNaN(call.overAt) && reachable && known) {
+      call.switchReleaseDueAt = timeMillis + RELEASE_MILLIS + SLACK_MILLIS;
     }
   }
 
--- a/soak/src/main/java/coveladder/soak/SoakRun.java
+++ b/soak/src/main/java/coveladder/soak/SoakRun.java
@@ -12,6 +12,9 @@
 
 /** One run: real processes, stand-ins and the faults that its seed draws. */
 final class SoakRun implements AutoCloseable {
+  /** Spreads neighbouring seeds, whose first draws would otherwise be alike. */
+  private static final long SEED_FACTOR = 0x9E3779B97F4A7C15L;
+
   private static final double KILL_AFTER_WINDOW_MILLIS = 700;
   private static final double MAX_WINDOW_MILLIS = 3_000;
   private static final double RESTART_MILLIS = 600;
@@ -172,11 +175,16 @@
 
   SoakRun(long seed, Path root, Path folder) throws IOException {
     this.seed = seed;
-    this.random = new Random(seed);
+    this.random = new Random(seed * SEED_FACTOR);
     this.settings = SoakSettings.draw(random);
     this.reactor = new Reactor();
     this.root = root;
     this.folder = folder;
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+  }
+
+  private void killAll() {
+    controllers.forEach(controller -> controller.process.kill());
   }
 
   private static InetSocketAddress freeAddress() throws IOException {
@@ -547,7 +555,7 @@
 
   @Override
   public void close() throws IOException {
-    controllers.forEach(controller -> controller.process.kill());
+    killAll();
     reactor.close();
   }
 }
--- a/soak/src/test/java/coveladder/soak/RuleCheckerTest.java
+++ b/soak/src/test/java/coveladder/soak/RuleCheckerTest.java
@@ -232,6 +232,16 @@
     assertBroken(Rule.LEFT_STANDING);
   }
 
+  @Test
+  void aCallNamedAfterItsCallersReleaseAndLeftStandingIsFound() {
+    established();
+    add(new ProcessChanged(START + 5_000, 0, Change.KILLED));
+    started(5_600);
+    callerWrote(6_200, release());
+    callerWrote(6_286, setUp(AT));
+    assertBroken(Rule.LEFT_STANDING);
+  }
+
   @Test
   void anAttemptAfterTheCallerHasGoneIsFound() {
     started(0);
