One bounded, expiring map for all that is kept for later messages

EndedCalls, the releases that wait for a switch and those sent lately each had the same loop over age and number; ExpiringMap holds it once.

--- a/isupfront/src/main/java/coveladder/isupfront/EndedCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/EndedCalls.java
@@ -1,9 +1,6 @@
 package coveladder.isupfront;
 
 import coveladder.core.Scheduler;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /**
  * Remembers for a limited time the releases of calls that are not tracked: of those that have just
@@ -17,9 +14,7 @@
    */
   static final double RETENTION_MILLIS = 30_000;
 
-  private final Scheduler scheduler;
-  private final int capacity;
-  private final Map<String, End> ends = new LinkedHashMap<>();
+  private final ExpiringMap<End> ends;
 
   /** Who released a call. */
   enum ReleasedBy {
@@ -36,9 +31,8 @@
    *
    * @param releasedBy who released it
    * @param cause cause for the caller
-   * @param timeMillis clock at which it ended, ms
    */
-  record End(ReleasedBy releasedBy, int cause, double timeMillis) {}
+  record End(ReleasedBy releasedBy, int cause) {}
 
   /**
    * Creates an empty memory.
@@ -46,28 +40,17 @@
    * @param capacity maximum number of ends remembered; the oldest is forgotten first
    */
   EndedCalls(Scheduler scheduler, int capacity) {
-    this.scheduler = scheduler;
-    this.capacity = capacity;
+    ends = new ExpiringMap<>(scheduler, capacity, RETENTION_MILLIS);
   }
 
   /** Remembers the end of a call; a later end of the same call replaces an earlier one. */
   void remember(String id, ReleasedBy releasedBy, int cause) {
-    ends.remove(id);
-    ends.put(id, new End(releasedBy, cause, scheduler.now()));
-    Iterator<End> oldest = ends.values().iterator();
-    while (isExpired(oldest.next()) || ends.size() > capacity) {
-      oldest.remove();
-    }
-  }
-
-  private boolean isExpired(End end) {
-    return scheduler.now() - end.timeMillis() > RETENTION_MILLIS;
+    ends.put(id, new End(releasedBy, cause));
   }
 
   /** Returns how a call ended; null if that is not remembered. */
   End find(String id) {
-    End end = ends.get(id);
-    return end == null || isExpired(end) ? null : end;
+    return ends.get(id);
   }
 
   /** Forgets the end of a call, as its id is set up anew. */
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -1,5 +1,6 @@
 package coveladder.isupfront;
 
+import coveladder.core.Scheduler;
 import coveladder.isup.Cause;
 import coveladder.isup.LineFramer;
 import coveladder.isup.MalformedException;
@@ -8,11 +9,9 @@
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import coveladder.isupfront.Transport.Loss;
-import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One connection to a switch, with the set-ups outstanding on it. */
 final class SwitchConnection implements ConnectionListener {
@@ -26,7 +25,7 @@
   private final SwitchLink link;
   private final LineFramer framer;
   private final Map<String, SwitchLink.OutstandingAttempt> outstanding = new LinkedHashMap<>();
-  private final Map<String, Double> recentReleases = new LinkedHashMap<>();
+  private final ExpiringMap<String> recentReleases;
   private Connection connection;
   private boolean open;
   private boolean ended;
@@ -36,11 +35,12 @@
   /** Clock at which the last part of an incomplete line arrived, ms; NaN if there is none. */
   private double partialLineReceivedAt = Double.NaN;
 
-  SwitchConnection(String name, SwitchLink link, int maxLineBytes, double now) {
+  SwitchConnection(String name, SwitchLink link, int maxLineBytes, Scheduler scheduler) {
     this.name = name;
+    this.recentReleases = new ExpiringMap<>(scheduler, MAX_RECENT_RELEASES, RESEND_WINDOW_MILLIS);
     this.link = link;
     this.framer = new LineFramer(maxLineBytes);
-    this.lastReceivedAt = now;
+    this.lastReceivedAt = scheduler.now();
   }
 
   /** Sets the transport connection that this object listens to. */
@@ -94,27 +94,14 @@
   }
 
   /** Releases an established call; the release is remembered until it has surely arrived. */
-  void sendRelease(String id, double now) {
+  void sendRelease(String id) {
     sendClose(id);
-    recentReleases.remove(id);
-    recentReleases.put(id, now);
-    Iterator<Double> oldest = recentReleases.values().iterator();
-    while (now - oldest.next() > RESEND_WINDOW_MILLIS
-        || recentReleases.size() > MAX_RECENT_RELEASES) {
-      oldest.remove();
-    }
+    recentReleases.put(id, id);
   }
 
-  /** Returns the calls released here so lately that the switch may not have read it. */
-  List<String> unconfirmedReleases(double now) {
-    List<String> unconfirmed = new ArrayList<>();
-    recentReleases.forEach(
-        (id, sentAt) -> {
-          if (now - sentAt <= RESEND_WINDOW_MILLIS) {
-            unconfirmed.add(id);
-          }
-        });
-    return unconfirmed;
+  /** Removes and returns the calls released here so lately that the switch may not know. */
+  Set<String> takeUnconfirmedReleases() {
+    return recentReleases.takeAll().keySet();
   }
 
   /** Cancels a set-up or releases an established call. */
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -10,7 +10,6 @@
 import coveladder.isupfront.Transport.Loss;
 import coveladder.wire.ReportReader;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,8 +69,8 @@
   private final Map<String, EstablishedCall> established = new LinkedHashMap<>();
   private final RecentIds cancelledIds = new RecentIds(MAX_CANCELLED_IDS);
 
-  /** Clock at which each release that waits for a connection began to wait, by call id. */
-  private final Map<String, Double> unsentReleases = new LinkedHashMap<>();
+  /** Calls whose release waits for a connection. */
+  private final ExpiringMap<String> unsentReleases;
 
   private ExchangeDirectory.Entry entry;
   private boolean stateKnown;
@@ -132,6 +131,9 @@
   SwitchLink(ExchangeDirectory.Entry entry, SwitchLinks links) {
     this.entry = entry;
     this.links = links;
+    this.unsentReleases =
+        new ExpiringMap<>(
+            links.scheduler(), links.limits().maxTrackedCalls(), UNSENT_LIFETIME_MILLIS);
     this.address = PlatformSettings.Address.parse("address", entry.address());
     this.lastHeardAt = links.now();
     this.silenceCheckMillis = SILENCE_CHECK_MILLIS * (1 + links.nextRandom() / 3);
@@ -168,7 +170,10 @@
   private SwitchConnection connect() {
     SwitchConnection connection =
         new SwitchConnection(
-            id() + "#" + ++openedConnections, this, links.limits().maxMessageBytes(), links.now());
+            id() + "#" + ++openedConnections,
+            this,
+            links.limits().maxMessageBytes(),
+            links.scheduler());
     connections.add(connection);
     connection.attach(links.transport().connect(address.host(), address.port(), connection));
     return connection;
@@ -217,10 +222,9 @@
     refusingSince = Double.NaN;
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     recordReceived(links.now());
-    dropOldUnsentReleases();
-    List<String> waiting = new ArrayList<>(unsentReleases.keySet());
-    unsentReleases.clear();
-    waiting.stream().filter(this::isFree).forEach(id -> connection.sendRelease(id, links.now()));
+    unsentReleases.takeAll().keySet().stream()
+        .filter(this::isFree)
+        .forEach(connection::sendRelease);
     for (OutstandingAttempt attempt : new ArrayList<>(connection.outstanding().values())) {
       send(connection, attempt);
     }
@@ -519,7 +523,7 @@
     }
     for (SwitchConnection connection : connections) {
       if (connection.isOpen() && !connection.unresponsive()) {
-        connection.sendRelease(id, links.now());
+        connection.sendRelease(id);
         return;
       }
     }
@@ -529,23 +533,12 @@
 
   private void keepUnsent(String id) {
     log().state(id, id(), "release waits for a connection to the switch");
-    unsentReleases.remove(id);
-    unsentReleases.put(id, links.now());
-    dropOldUnsentReleases();
-  }
-
-  private void dropOldUnsentReleases() {
-    Iterator<Double> oldest = unsentReleases.values().iterator();
-    while (oldest.hasNext()
-        && (links.now() - oldest.next() > UNSENT_LIFETIME_MILLIS
-            || unsentReleases.size() > links.limits().maxTrackedCalls())) {
-      oldest.remove();
-    }
+    unsentReleases.put(id, id);
   }
 
   /** Sends releases again that were written just before their connection ended. */
   private void resendReleases(SwitchConnection ended) {
-    for (String id : ended.unconfirmedReleases(links.now())) {
+    for (String id : ended.takeUnconfirmedReleases()) {
       log().retried(id, ended.name(), "release: its connection ended");
       sendRelease(id);
     }
@@ -597,7 +590,7 @@
       }
     } else if (!established.containsKey(id) && cancelledIds.remove(id) && !isOutstanding(id)) {
       log().state(id, connection.name(), "answered after its cancel, released");
-      connection.sendRelease(id, links.now());
+      connection.sendRelease(id);
     } else {
       log().ignored(id, connection.name(), "answer without an outstanding set-up here");
     }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -87,6 +87,10 @@
     return log;
   }
 
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
   double now() {
     return scheduler.now();
   }
