A release is sent at once to a switch that does not respond, and on the next connection too

Callers would see: circuits taken by calls that they released while the switch hung. Cause: SwitchLink held a release back while no open connection responded, and sent it only when a new one was opened, which does not happen with all three open. CallsTest failed before. It is now written on an open connection in any case, and again on the next one opened unless one responded.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -516,21 +516,37 @@
     return (attempt == null || !attempt.sent) && !established.containsKey(id);
   }
 
-  /** Sends a release on an open connection, or on the next one opened. */
+  /**
+   * Sends a release on an open connection, best one that responds; if none does, the release is
+   * also sent on the next one opened.
+   */
   private void sendRelease(String id) {
     if (!isFree(id)) {
       return;
     }
-    for (SwitchConnection connection : connections) {
-      if (connection.isOpen() && !connection.unresponsive()) {
-        connection.sendRelease(id);
-        return;
-      }
+    SwitchConnection responsive = firstOpen(true);
+    if (responsive != null) {
+      responsive.sendRelease(id);
+      return;
+    }
+    SwitchConnection unresponsive = firstOpen(false);
+    if (unresponsive != null) {
+      unresponsive.sendRelease(id);
     }
     keepUnsent(id);
     scheduleReconnect(RECONNECT_DELAY_MILLIS);
   }
 
+  /** Returns the first open connection that responds, or does not; null if there is none. */
+  private SwitchConnection firstOpen(boolean responds) {
+    for (SwitchConnection connection : connections) {
+      if (connection.isOpen() && connection.unresponsive() != responds) {
+        return connection;
+      }
+    }
+    return null;
+  }
+
   private void keepUnsent(String id) {
     log().state(id, id(), "release waits for a connection to the switch");
     unsentReleases.put(id, id);
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -669,4 +669,16 @@
     harness.connectionTo(2).establish();
     assertFalse(harness.connectionTo(2).takeSent().contains("CLOSE 7 16"));
   }
+
+  /** A switch that hangs reads what is sent to it, and no new connection may be opened for long. */
+  @Test
+  void aReleaseIsSentAtOnceToASwitchThatDoesNotRespond() {
+    establish(7);
+    harness.clock.advance(1);
+    caller.deliver(FrontEndHarness.setUp(8));
+    harness.clock.advance(1_001);
+    harness.connectionTo(2).takeSent();
+    caller.deliver(FrontEndHarness.release(7));
+    assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
+  }
 }
