Soak: each run has loopback addresses of its own; calls of ended switches have 8 s

Runs side by side took each other's ports while a listener was closed (a controller ended with 'Address already in use', a switch spoke with another run's controller).

--- a/soak/src/main/java/coveladder/soak/RuleChecker.java
+++ b/soak/src/main/java/coveladder/soak/RuleChecker.java
@@ -260,7 +260,9 @@
     boolean owed = !Double.isNaN(call.overAt) && !call.releaseSeen && !call.releasedByCaller;
     if (owed && call.overAtLeastSince >= process(call.controller).startedAt) {
       double namedDueAt = wrote.timeMillis() + RELEASE_MILLIS + SLACK_MILLIS;
-      call.releaseDueAt = Math.max(namedDueAt, call.overDueAt);
+      boolean untold = Double.isInfinite(call.overAtLeastSince);
+      double untoldDueAt = call.overAt + UNTOLD_RELEASE_MILLIS + SLACK_MILLIS;
+      call.releaseDueAt = Math.max(namedDueAt, untold ? untoldDueAt : call.overDueAt);
     }
   }
 
--- a/soak/src/main/java/coveladder/soak/SoakRun.java
+++ b/soak/src/main/java/coveladder/soak/SoakRun.java
@@ -12,6 +12,11 @@
 
 /** One run: real processes, stand-ins and the faults that its seed draws. */
 final class SoakRun implements AutoCloseable {
+  /** Second octets of the loopback addresses, one for each process that plays runs. */
+  private static final int FIRST_ADDRESS = 20;
+
+  private static final int PROCESS_ADDRESSES = 200;
+
   /** Spreads neighbouring seeds, whose first draws would otherwise be alike. */
   private static final long SEED_FACTOR = 0x9E3779B97F4A7C15L;
 
@@ -187,14 +192,21 @@
     controllers.forEach(controller -> controller.process.kill());
   }
 
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket reservation = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress("127.0.0.1", reservation.getLocalPort());
+  /**
+   * Returns a free port at a loopback address of this run alone: another run or an outgoing
+   * connection could otherwise take the port of a listener that is closed for a while.
+   */
+  private InetSocketAddress freeAddress() throws IOException {
+    long process = ProcessHandle.current().pid() % PROCESS_ADDRESSES;
+    String host = "127." + (FIRST_ADDRESS + process) + "." + Math.floorMod(seed, 250) + ".1";
+    InetAddress address = InetAddress.getByName(host);
+    try (ServerSocket reservation = new ServerSocket(0, 1, address)) {
+      return new InetSocketAddress(address, reservation.getLocalPort());
     }
   }
 
   private static String text(InetSocketAddress address) {
-    return address.getHostString() + ":" + address.getPort();
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
   private String stateOf(SwitchHost host) {
--- a/soak/src/main/java/coveladder/soak/SwitchHost.java
+++ b/soak/src/main/java/coveladder/soak/SwitchHost.java
@@ -98,7 +98,7 @@
     return "{\"instanceId\":\""
         + id
         + "\",\"hostPort\":\""
-        + address.getHostString()
+        + address.getAddress().getHostAddress()
         + ":"
         + address.getPort()
         + "\",\"zone\":\"z\",\"machineType\":\"std\",\"cell\":"
