--- a/soak/src/main/java/coveladder/soak/RuleChecker.java
+++ b/soak/src/main/java/coveladder/soak/RuleChecker.java
@@ -335,7 +335,8 @@
     call.pending = false;
     call.stands = true;
     if (!Double.isNaN(call.overAt) && !call.releasedByCaller) {
-      call.releaseDueAt = read.timeMillis() + RELEASE_MILLIS + SLACK_MILLIS;
+      double answeredDueAt = read.timeMillis() + RELEASE_MILLIS + SLACK_MILLIS;
+      call.releaseDueAt = Math.max(answeredDueAt, call.overDueAt);
     }
   }
 
