--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -681,4 +681,15 @@
     caller.deliver(FrontEndHarness.release(7));
     assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
   }
+
+  /** Its caller's only open connection is new and has not brought a call yet. */
+  @Test
+  void aReleaseReachesAnOpenConnectionThatHasBroughtNoCall() {
+    establish(7);
+    FrontEndHarness.FakeConnection idle = harness.connectCaller();
+    caller.lose(Loss.CLOSED);
+    harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
+    harness.clock.advance(1_050);
+    assertEquals(List.of("12 7 cause 16"), idle.takeSent());
+  }
 }
