Timers of calls that have ended are removed at once, not when they are due

Cause: the policy started a timer for the final answer of each call and had no way to cancel it, so a call refused at once was kept with its timer until its caller's time was over, 9 s later. The event loop kept cancelled timers (patience, attempts) until they were due as well.

Change: Actions.cancelTimer, without effect by default (the simulator's wire has no such action); the policy cancels the timers of a call when it ends; CallController holds the policy's timers by label; the event loop removes cancelled timers when they are the greater part of the heap, at a constant cost each. What is held now follows the number of pending calls, which is bounded.

--- a/core/src/main/java/coveladder/core/CallController.java
+++ b/core/src/main/java/coveladder/core/CallController.java
@@ -11,6 +11,7 @@
 import coveladder.CallPolicy.Reason;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,10 @@
   private final LoadReports loadReports = new LoadReports();
   private final Map<String, TrackedCall> calls = new LinkedHashMap<>();
   private final ArrayDeque<Consumer<CallPolicy>> queuedEvents = new ArrayDeque<>();
+
+  /** Pending timers of the policy, by label. */
+  private final Map<Long, Scheduler.Timer> policyTimers = new HashMap<>();
+
   private boolean dispatching;
   private boolean draining;
 
@@ -586,7 +591,20 @@
 
     @Override
     public void startTimer(double delayMillis, long label) {
-      scheduler.schedule(delayMillis, () -> dispatch(p -> p.onTimer(scheduler.now(), label)));
+      policyTimers.put(label, scheduler.schedule(delayMillis, () -> timerExpired(label)));
+    }
+
+    private void timerExpired(long label) {
+      policyTimers.remove(label);
+      dispatch(p -> p.onTimer(scheduler.now(), label));
+    }
+
+    @Override
+    public void cancelTimer(long label) {
+      Scheduler.Timer timer = policyTimers.remove(label);
+      if (timer != null) {
+        timer.stop();
+      }
     }
 
     @Override
--- a/core/src/test/java/coveladder/core/CallControllerTest.java
+++ b/core/src/test/java/coveladder/core/CallControllerTest.java
@@ -309,6 +309,20 @@
     assertEquals(2, policyEvents.size(), "an outdated version is not reported");
   }
 
+  /** The timers of refused calls were kept until they were due, and filled the heap. */
+  @Test
+  void aCancelledTimerOfThePolicyIsNotKept() {
+    long before = clock.pendingTasks();
+    actions.startTimer(9_000, 2);
+    actions.startTimer(9_000, 3);
+    actions.cancelTimer(2);
+    actions.cancelTimer(2);
+    assertEquals(before + 1, clock.pendingTasks());
+    clock.advance(9_001);
+    actions.cancelTimer(3);
+    assertEquals(List.of("timer 3"), policyEvents);
+  }
+
   @Test
   void aDuplicateCallIdIsRejected() {
     callArrives("a", "wait");
--- a/core/src/test/java/coveladder/core/VirtualClock.java
+++ b/core/src/test/java/coveladder/core/VirtualClock.java
@@ -53,6 +53,11 @@
     now += durationMillis;
   }
 
+  /** Number of tasks that have not been due yet and are not cancelled. */
+  public long pendingTasks() {
+    return tasks.stream().filter(task -> task.task()[0] != null).count();
+  }
+
   /** Number of tasks that have not been due yet, cancelled ones included. */
   public int scheduledTasks() {
     return tasks.size();
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import coveladder.CallPolicy;
+import coveladder.NestedThresholdPolicy;
 import coveladder.isup.CallerCodec;
 import coveladder.isup.CallerMessage;
 import coveladder.isupfront.Transport.Loss;
@@ -301,4 +303,25 @@
     assertEquals(List.of("12 7 cause 41"), caller.takeSent());
     assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
   }
+
+  /** Each refused set-up left timers until its caller's time was over, and the heap filled. */
+  @Test
+  void setUpsThatAreRefusedAtOnceLeaveNoTimers() {
+    FrontEndHarness served =
+        new FrontEndHarness(actions -> new NestedThresholdPolicy(policySettings(), 1, actions))
+            .openSwitchConnections();
+    served.connectionTo(3).deliver(FrontEndHarness.status(0));
+    FrontEndHarness.FakeConnection busy = served.connectCaller();
+    long timersBefore = served.clock.pendingTasks();
+    for (int id = 1; id <= 1_000; id++) {
+      busy.deliver(FrontEndHarness.setUp(id, 21, "dest:2;width:1;via:1;transit:1"));
+    }
+    assertEquals(1_000, busy.takeSent().size());
+    assertEquals(timersBefore, served.clock.pendingTasks());
+    assertEquals(0, served.frontEnd.controller().callCount());
+  }
+
+  private static CallPolicy.Settings policySettings() {
+    return PlatformSettings.read(FrontEndHarness.CONFIG).policySettings();
+  }
 }
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -19,6 +19,9 @@
   /** Maximum number of queued tasks per iteration, and of prioritized tasks run at a time. */
   private static final int MAX_BATCH_TASKS = 64;
 
+  /** Number of cancelled timers that may stay in the heap, whatever its size. */
+  private static final int MAX_IDLE_CANCELLED_TIMERS = 64;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final long originNanos;
@@ -33,16 +36,21 @@
   private long nextSequenceNumber;
   private long failedTasks;
 
+  /** Number of entries of {@code timers} that are cancelled. */
+  private int cancelledTimers;
+
   /** Handle of a scheduled timer. */
   public interface Timer {
-    /** Cancels the timer; has no effect once it has run. */
+    /** Cancels the timer, on the loop thread; has no effect once it has run. */
     void cancel();
   }
 
   /** A scheduled task; tasks due at the same time run in the order in which they were set. */
-  private static final class ScheduledTask implements Comparable<ScheduledTask>, Timer {
+  private final class ScheduledTask implements Comparable<ScheduledTask>, Timer {
     private final double timeMillis;
     private final long sequenceNumber;
+
+    /** The task; null once it was cancelled or begun. */
     private Runnable task;
 
     ScheduledTask(double timeMillis, long sequenceNumber, Runnable task) {
@@ -53,7 +61,18 @@
 
     @Override
     public void cancel() {
+      if (task != null) {
+        task = null;
+        cancelledTimers++;
+        removeCancelledTimers();
+      }
+    }
+
+    /** Returns the task, which cannot be cancelled any more; null if it was cancelled before. */
+    private Runnable takeTask() {
+      Runnable taken = task;
       task = null;
+      return taken;
     }
 
     @Override
@@ -234,17 +253,43 @@
   private void runTimers() {
     ScheduledTask due = timers.peek();
     while (due != null && due.timeMillis <= now()) {
-      timers.poll();
       if (due.task != null) {
         runPriorityTasks();
       }
-      if (due.task != null) {
-        runGuarded(due.task);
-      }
+      runDue(due);
       due = timers.peek();
     }
   }
 
+  /** Removes a due timer and runs its task, unless the input just processed has cancelled it. */
+  private void runDue(ScheduledTask due) {
+    if (!timers.remove(due)) {
+      return;
+    }
+    Runnable task = due.takeTask();
+    if (task == null) {
+      cancelledTimers--;
+    } else {
+      runGuarded(task);
+    }
+  }
+
+  /**
+   * Removes the cancelled timers once they are the greater part of the heap, so that its size
+   * follows the number of pending timers at a constant cost for each.
+   */
+  private void removeCancelledTimers() {
+    if (cancelledTimers > MAX_IDLE_CANCELLED_TIMERS && 2 * cancelledTimers > timers.size()) {
+      timers.removeIf(timer -> timer.task == null);
+      cancelledTimers = 0;
+    }
+  }
+
+  /** Returns the number of timers held, cancelled ones included. */
+  int heldTimers() {
+    return timers.size();
+  }
+
   /** Runs a task; an exception in it must not end the loop and with it all calls. */
   private void runGuarded(Runnable task) {
     try {
--- a/policy/src/main/java/coveladder/CallPolicy.java
+++ b/policy/src/main/java/coveladder/CallPolicy.java
@@ -67,6 +67,12 @@
     /** Starts a timer that calls {@link CallPolicy#onTimer} with this label when it expires. */
     void startTimer(double delayMillis, long label);
 
+    /**
+     * Cancels a timer that is no longer needed; no effect if none with this label is pending. An
+     * implementation that cannot cancel may let it expire, which the policy ignores.
+     */
+    default void cancelTimer(long label) {}
+
     /** Requests a load report from an exchange, if {@link Settings#mayProbe} permits it. */
     void probe(String exchange);
 
--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -425,6 +425,9 @@
       actions.startTimer(RECOMPUTE_INTERVAL_MILLIS, RECOMPUTE_TIMER);
     }
     TrackedCall call = timers.remove(label);
+    if (call != null) {
+      call.timerLabels.remove(Long.valueOf(label));
+    }
     boolean pending = call != null && !call.finished && !call.established;
     if (pending) {
       onCallTimer(now, call);
@@ -489,9 +492,19 @@
   private void startCallTimer(TrackedCall call, double delay) {
     long label = ++sequence;
     timers.put(label, call);
+    call.timerLabels.add(label);
     actions.startTimer(Math.max(0, delay), label);
   }
 
+  /** Cancels the timers of a call that has ended: until they expired, they would keep it. */
+  private void cancelCallTimers(TrackedCall call) {
+    for (Long label : call.timerLabels) {
+      timers.remove(label);
+      actions.cancelTimer(label);
+    }
+    call.timerLabels.clear();
+  }
+
   // ---- Routing ------------------------------------------------------------------------------
 
   /** Decides on a call with no outstanding attempt: it is sent, waits or is refused. */
@@ -839,6 +852,7 @@
     if (ended.callFinished() || call.finished) {
       call.finished = true;
       calls.remove(call.request.id());
+      cancelCallTimers(call);
       return;
     }
     Outcome outcome = ended.outcome();
@@ -988,6 +1002,7 @@
   private void finish(TrackedCall call) {
     call.finished = true;
     waitQueue.remove(call);
+    cancelCallTimers(call);
     if (call.currentAttempt == null) {
       calls.remove(call.request.id());
     }
@@ -1337,6 +1352,10 @@
     double guardUntil;
     int attemptsSent;
     int tandemsTried;
+
+    /** Labels of the pending timers of the call. */
+    final List<Long> timerLabels = new ArrayList<>(2);
+
     Attempt currentAttempt;
 
     /** The first attempt that may have taken effect although it failed; null if there is none. */
--- a/policy/src/test/java/coveladder/PolicyTest.java
+++ b/policy/src/test/java/coveladder/PolicyTest.java
@@ -772,4 +772,31 @@
         fixture.policy.waitingCallsExamined - examinedBefore <= 2 * 50,
         "examined " + (fixture.policy.waitingCallsExamined - examinedBefore));
   }
+
+  /** Refused calls were kept with their timers until their callers' time was over. */
+  @Test
+  void theTimersOfARefusedCallAreCancelled() {
+    PolicyFixture fixture = PolicyFixture.mesh();
+    fixture.reportCircuits(1, 0, 20);
+    fixture.actions.recorded.clear();
+    fixture.offerTransitCall("t", PolicyFixture.LOW_WORTH, 1);
+    assertEquals(List.of("refuse"), fixture.actions.finalAnswers("t"));
+    assertEquals(1, fixture.actions.ofType("startTimer").size());
+    assertEquals(
+        fixture.actions.ofType("startTimer").get(0).call(),
+        fixture.actions.ofType("cancelTimer").get(0).call());
+  }
+
+  @Test
+  void theTimersOfAnAbandonedCallThatWaitsAreCancelled() {
+    PolicyFixture fixture = PolicyFixture.mesh();
+    fixture.reportCircuits(1, 0, 20);
+    fixture.reportCircuits(2, 0, 20);
+    fixture.reportCircuits(3, 0, 20);
+    fixture.actions.recorded.clear();
+    fixture.offerCall("w", PolicyFixture.LOW_WORTH, 1);
+    int started = fixture.actions.ofType("startTimer").size();
+    fixture.policy.onCallerAbandoned(fixture.now, "w");
+    assertEquals(started, fixture.actions.ofType("cancelTimer").size());
+  }
 }
--- a/policy/src/test/java/coveladder/RecordingActions.java
+++ b/policy/src/test/java/coveladder/RecordingActions.java
@@ -66,6 +66,11 @@
     recorded.add(new RecordedAction("startTimer", String.valueOf(label), "", delayMillis));
   }
 
+  @Override
+  public void cancelTimer(long label) {
+    recorded.add(new RecordedAction("cancelTimer", String.valueOf(label), "", 0));
+  }
+
   @Override
   public void probe(String exchange) {
     recorded.add(new RecordedAction("probe", "", exchange, 0));
