An error in a thread ends the process, with a status and a log line

Cause: EventLoop.runGuarded and run catch exceptions only. An Error ended the loop's thread, a daemon, while the main thread waited for an end that only the loop can report. Grizzly logs what its filters throw, errors too, and goes on; its selector thread may end without a word.

The loop reports any end but close as an error; the stream filters report errors themselves; the main thread checks loop and selector threads five times a second.

--- a/app/src/main/java/coveladder/app/Main.java
+++ b/app/src/main/java/coveladder/app/Main.java
@@ -1,5 +1,6 @@
 package coveladder.app;
 
+import coveladder.net.FatalErrorHandler;
 import coveladder.serve.Serve;
 import coveladder.store.DiskStore;
 import java.io.IOException;
@@ -28,6 +29,7 @@
 
   /** Runs the program and exits with its status: 0 success, 1 failure, 2 usage error. */
   public static void main(String[] arguments) {
+    FatalErrorHandler.install();
     if (arguments.length == 1 && arguments[0].equals("serve")) {
       System.exit(Serve.run(System.getenv("RELAY_CONFIG")));
     }
--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -101,6 +101,11 @@
     thread.start();
   }
 
+  /** Returns whether the loop thread runs. */
+  public boolean isAlive() {
+    return thread.isAlive();
+  }
+
   /** Returns the monotonic clock, in ms since the origin. */
   public double now() {
     return (System.nanoTime() - originNanos) / NANOS_PER_MILLI;
@@ -206,12 +211,15 @@
     return failedTasks;
   }
 
+  /** Runs until the loop is closed; any other end is an error, as nothing would run any more. */
   private void run() {
-    while (running) {
-      try {
+    try {
+      while (running) {
         runOnce();
-      } catch (InterruptedException e) {
-        running = false;
+      }
+    } catch (InterruptedException | RuntimeException e) {
+      if (running) {
+        throw new Error("event loop " + thread.getName() + " ended", e);
       }
     }
   }
@@ -290,7 +298,10 @@
     return timers.size();
   }
 
-  /** Runs a task; an exception in it must not end the loop and with it all calls. */
+  /**
+   * Runs a task. An exception in it must not end the loop and with it all calls. An error does, and
+   * reaches the uncaught exception handler: the state of the calls cannot be relied on any more.
+   */
   private void runGuarded(Runnable task) {
     try {
       task.run();
--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Future;
+import java.util.concurrent.ThreadFactory;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -20,6 +23,7 @@
 import org.glassfish.grizzly.nio.transport.UDPNIOTransport;
 import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /** The Grizzly transports of a process; all nodes of the process share their selector threads. */
 public final class Sockets implements AutoCloseable {
@@ -28,6 +32,7 @@
   /** Maximum number of connections that wait to be accepted by the process. */
   private static final int ACCEPT_BACKLOG = 4_096;
 
+  private final List<Thread> selectorThreads = new CopyOnWriteArrayList<>();
   private final TCPNIOTransport tcp;
   private final UDPNIOTransport udp;
 
@@ -49,25 +54,45 @@
     return new Sockets(selectorThreads, false);
   }
 
-  private Sockets(int selectorThreads, boolean datagrams) throws IOException {
+  private Sockets(int selectorThreadCount, boolean datagrams) throws IOException {
     tcp =
         TCPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorThreadPoolConfig(selectorThreadPool("tcp"))
             .setReuseAddress(true)
             .setTcpNoDelay(true)
             .setServerConnectionBackLog(ACCEPT_BACKLOG)
-            .setSelectorRunnersCount(selectorThreads)
+            .setSelectorRunnersCount(selectorThreadCount)
             .build();
     tcp.start();
-    udp = datagrams ? startUdp(selectorThreads) : null;
+    udp = datagrams ? startUdp(selectorThreadCount) : null;
   }
 
-  private static UDPNIOTransport startUdp(int selectorThreads) throws IOException {
+  /** Returns the configuration of a pool whose threads are recorded. */
+  private ThreadPoolConfig selectorThreadPool(String protocol) {
+    ThreadFactory factory =
+        task -> {
+          String name = "selector-" + protocol + "-" + selectorThreads.size();
+          Thread thread = new Thread(task, name);
+          thread.setDaemon(true);
+          selectorThreads.add(thread);
+          return thread;
+        };
+    return ThreadPoolConfig.defaultConfig().copy().setThreadFactory(factory);
+  }
+
+  /** Returns whether all selector threads that were started run. */
+  public boolean isAlive() {
+    return selectorThreads.stream().allMatch(Thread::isAlive);
+  }
+
+  private UDPNIOTransport startUdp(int selectorThreadCount) throws IOException {
     UDPNIOTransport transport =
         UDPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorThreadPoolConfig(selectorThreadPool("udp"))
             .setReadBufferSize(MAX_DATAGRAM_BYTES)
-            .setSelectorRunnersCount(selectorThreads)
+            .setSelectorRunnersCount(selectorThreadCount)
             .build();
     transport.start();
     return transport;
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -241,10 +241,38 @@
     return context.getConnection();
   }
 
+  /** Handles an event of a connection on a selector thread. */
+  private interface SelectorTask {
+    NextAction run();
+  }
+
+  /** Runs a task; Grizzly logs the errors that its filters throw, and goes on without them. */
+  private static NextAction reportingErrors(SelectorTask task) {
+    try {
+      return task.run();
+    } catch (Error e) {
+      throw FatalErrorHandler.report(e);
+    }
+  }
+
   /** Passes inbound events on; runs on the selector threads. */
   private final class StreamFilter extends BaseFilter {
     @Override
     public NextAction handleAccept(FilterChainContext context) {
+      return reportingErrors(() -> accept(context));
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+      return reportingErrors(() -> read(context));
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext context) {
+      return reportingErrors(() -> close(context));
+    }
+
+    private NextAction accept(FilterChainContext context) {
       Connection<SocketAddress> connection = connection(context);
       if (inboundCount.incrementAndGet() > limits.maxAccepted()) {
         inboundCount.decrementAndGet();
@@ -259,8 +287,7 @@
       return context.getInvokeAction();
     }
 
-    @Override
-    public NextAction handleRead(FilterChainContext context) {
+    private NextAction read(FilterChainContext context) {
       double arrivedMillis = loop.now();
       Connection<SocketAddress> connection = connection(context);
       byte[] octets = Sockets.consume(context);
@@ -271,8 +298,7 @@
       return context.getStopAction();
     }
 
-    @Override
-    public NextAction handleClose(FilterChainContext context) {
+    private NextAction close(FilterChainContext context) {
       Connection<SocketAddress> connection = connection(context);
       Stream stream = STREAM.get(connection);
       if (stream != null && !stream.outbound()) {
--- a/net/src/test/java/coveladder/net/StreamsTest.java
+++ b/net/src/test/java/coveladder/net/StreamsTest.java
@@ -1,6 +1,7 @@
 package coveladder.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -271,4 +272,15 @@
       assertEquals("bye", new String(socket.getInputStream().readAllBytes()));
     }
   }
+
+  @Test
+  void aSelectorThreadThatHasEndedIsReported() throws Exception {
+    Sockets other = Sockets.streamsOnly(1);
+    assertTrue(other.isAlive());
+    other.close();
+    for (int i = 0; i < 1_000 && other.isAlive(); i++) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertFalse(other.isAlive());
+  }
 }
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -5,6 +5,7 @@
 import coveladder.isupfront.Limits;
 import coveladder.isupfront.PlatformSettings;
 import coveladder.net.EventLoop;
+import coveladder.net.FatalErrorHandler;
 import coveladder.net.Sockets;
 import coveladder.net.Streams;
 import coveladder.wire.WireException;
@@ -13,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +36,10 @@
   private static final int MAX_QUEUED_BYTES = 1 << 19;
 
   private static final double CONNECT_TIMEOUT_MILLIS = 500;
+
+  /** Interval at which the threads of the process are checked, ms. */
+  private static final long THREAD_CHECK_INTERVAL_MILLIS = 200;
+
   private static final double STATE_LOG_INTERVAL_MILLIS = 5_000;
 
   /** Maximum number of times that an unusable configuration file is read. */
@@ -46,6 +52,7 @@
   private final EventLoop loop;
   private final EventLogger eventLogger = new EventLogger(LOG::info);
   private final IsupFrontEnd frontEnd;
+  private final Sockets sockets;
   private final SocketTransport transport;
   private final ConfigurationReloader reloader = new ConfigurationReloader(this::reload);
   private final CountDownLatch terminated = new CountDownLatch(1);
@@ -56,8 +63,8 @@
     Limits limits =
         Limits.forDescriptors(
             settings.maxDescriptors(), settings.policySettings().controllerCount());
-    this.transport =
-        new SocketTransport(Sockets.streamsOnly(1), loop, streamLimits(settings, limits));
+    this.sockets = Sockets.streamsOnly(1);
+    this.transport = new SocketTransport(sockets, loop, streamLimits(settings, limits));
     this.frontEnd =
         new IsupFrontEnd(
             settings,
@@ -79,8 +86,12 @@
         settings.maxDescriptors(), maxAccepted, MAX_QUEUED_BYTES, CONNECT_TIMEOUT_MILLIS);
   }
 
-  /** Runs the command and exits: 0 ended on request, 2 unusable configuration. */
+  /**
+   * Runs the command and exits: 0 ended on request, 2 unusable configuration, {@link
+   * FatalErrorHandler#EXIT_STATUS} a thread met an error.
+   */
   public static void main(String[] arguments) {
+    FatalErrorHandler.install();
     System.exit(run(System.getenv("RELAY_CONFIG")));
   }
 
@@ -126,10 +137,23 @@
         settings.name(),
         settings.listenAddress().host(),
         settings.listenAddress().port());
-    terminated.await();
+    awaitEnd();
     loop.close();
   }
 
+  /**
+   * Waits until the process may end.
+   *
+   * @throws Error if a thread has ended without which calls are neither read nor answered
+   */
+  private void awaitEnd() throws InterruptedException {
+    while (!terminated.await(THREAD_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)) {
+      if (!loop.isAlive() || !sockets.isAlive()) {
+        throw new Error("the event loop or a selector thread has ended");
+      }
+    }
+  }
+
   private void terminate() {
     LOG.info("terminating; {}", frontEnd.stateSummary());
     reloader.stop();
