What a switch writes first on a new connection is always read

Cause: Sockets.connect began the attempt and only then added the completion handler that ties the stream to the connection. On one core the selector thread can connect and read in between: handleRead dropped what it read on a connection without a stream, without a trace. A switch sends its repeated releases just there.

Change: the connection carries its stream before the attempt begins (preConfigure), and the completion is handed to Grizzly with the attempt, which then reports it before it reads. What is discarded, as this side had closed the connection, is counted and logged ("octets discarded").

The test forces the order, by holding the thread that connects until the selector thread has read. It failed before: nothing was read.

--- a/net/src/main/java/coveladder/net/SocketNode.java
+++ b/net/src/main/java/coveladder/net/SocketNode.java
@@ -186,8 +186,7 @@
       loop.after(0, () -> notifyFailed(to, Failure.REFUSED));
       return null;
     }
-    Stream stream = streams.connect(address);
-    stream.attachment(new StreamState(to));
+    Stream stream = streams.connect(address, new StreamState(to));
     streamsByHop.put(to, stream);
     return stream;
   }
--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -7,10 +7,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Future;
 import java.util.concurrent.ThreadFactory;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.GrizzlyFuture;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -120,17 +120,50 @@
     return UDPNIOBindingHandler.builder(udp).processor(chain).build().bind(address);
   }
 
-  /** Starts to connect; cancelling the result closes the socket, so that it never comes up. */
+  /**
+   * Starts to connect; cancelling the result closes the socket, so that it never comes up. The
+   * selector thread may read from the connection before this method returns: it is prepared before
+   * the attempt begins, and reported as completed before anything is read from it.
+   *
+   * @param preparation called with the connection before the attempt begins
+   * @param completion called with the result on a selector thread, or on this one if the attempt
+   *     fails at once
+   */
   @SuppressWarnings("rawtypes")
   Future<Connection> connect(
-      FilterChain chain, InetSocketAddress to, CompletionHandler<Connection> completion) {
-    GrizzlyFuture<Connection> attempt =
-        TCPNIOConnectorHandler.builder(tcp)
-            .processor(chain)
-            .build()
-            .connect(to, (SocketAddress) null);
-    attempt.addCompletionHandler(completion);
-    return attempt;
+      FilterChain chain,
+      InetSocketAddress to,
+      Consumer<Connection> preparation,
+      CompletionHandler<Connection> completion) {
+    Connector connector = new Connector(tcp, preparation);
+    connector.setProcessor(chain);
+    return connector.start(to, completion);
+  }
+
+  /** Starts one attempt to connect. */
+  @SuppressWarnings("rawtypes")
+  private static final class Connector extends TCPNIOConnectorHandler {
+    private final Consumer<Connection> preparation;
+
+    Connector(TCPNIOTransport transport, Consumer<Connection> preparation) {
+      super(transport);
+      this.preparation = preparation;
+    }
+
+    @Override
+    protected void preConfigure(Connection connection) {
+      super.preConfigure(connection);
+      preparation.accept(connection);
+    }
+
+    Future<Connection> start(InetSocketAddress to, CompletionHandler<Connection> completion) {
+      return connectAsync(to, null, completion, /* needFuture= */ true);
+    }
+  }
+
+  /** Returns the transport of the streams, for tests that force an order of events. */
+  TCPNIOTransport streamTransport() {
+    return tcp;
   }
 
   @Override
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -40,6 +40,7 @@
       new IdentityHashMap<>();
   private final AtomicInteger inboundCount = new AtomicInteger();
   private final AtomicLong totalQueuedBytes = new AtomicLong();
+  private final AtomicLong discardedBytes = new AtomicLong();
   private Connection<SocketAddress> serverConnection;
 
   /**
@@ -121,6 +122,19 @@
     }
   }
 
+  /**
+   * Counts bytes that were read from a connection but not passed on, as this node had closed it;
+   * from any thread.
+   */
+  public void countDiscarded(int length) {
+    discardedBytes.addAndGet(length);
+  }
+
+  /** Returns the number of bytes that were read and discarded so far. */
+  public long discardedBytes() {
+    return discardedBytes.get();
+  }
+
   /** Returns whether a connection is still managed here. */
   public boolean contains(Stream stream) {
     return streams.contains(stream);
@@ -136,16 +150,23 @@
     return new ArrayList<>(streams);
   }
 
-  /** Starts to connect; the listener gets the result later, even if the limit is reached. */
-  public Stream connect(InetSocketAddress to) {
+  /**
+   * Starts to connect; the listener gets the result later, even if the limit is reached.
+   *
+   * @param attachment object of the listener, attached before anything is read from the connection
+   */
+  public Stream connect(InetSocketAddress to, Object attachment) {
     Stream stream = new Stream(to, true, limits.maxQueuedBytes(), totalQueuedBytes);
+    stream.attachment(attachment);
     streams.add(stream);
     if (streams.size() > limits.maxConnections() || to.isUnresolved()) {
       loop.after(0, () -> drop(stream, Loss.NOT_MADE));
       return stream;
     }
     loop.after(limits.connectTimeoutMillis(), () -> dropIfNotOpen(stream, Loss.NOT_MADE));
-    stream.connecting(sockets.connect(chain, to, new ConnectHandler(stream)));
+    stream.connecting(
+        sockets.connect(
+            chain, to, connection -> STREAM.set(connection, stream), new ConnectHandler(stream)));
     return stream;
   }
 
@@ -194,7 +215,6 @@
 
     @Override
     public void completed(Connection connection) {
-      STREAM.set(connection, stream);
       loop.execute(() -> connected(stream, connection));
     }
 
@@ -292,7 +312,9 @@
       Connection<SocketAddress> connection = connection(context);
       byte[] octets = Sockets.consume(context);
       Stream stream = STREAM.get(connection);
-      if (stream != null) {
+      if (stream == null) {
+        countDiscarded(octets.length);
+      } else {
         listener.read(stream, octets, arrivedMillis);
       }
       return context.getStopAction();
--- a/net/src/test/java/coveladder/net/StreamsTest.java
+++ b/net/src/test/java/coveladder/net/StreamsTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.nio.NIOChannelDistributor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +27,10 @@
 /** Tests connection handling independent of the protocol, and the task order of the loop. */
 class StreamsTest {
   private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+
+  /** Time in which an idle selector thread surely reads what has arrived, ms. */
+  private static final long SELECTOR_TURN_MILLIS = 300;
+
   private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
   private Sockets sockets;
   private EventLoop loop;
@@ -31,7 +38,7 @@
   private volatile Stream lastAccepted;
 
   /** Records the events of the connections. */
-  private final class RecordingListener implements Streams.Listener {
+  private class RecordingListener implements Streams.Listener {
     @Override
     public boolean prioritizesAccepted() {
       return true;
@@ -116,7 +123,7 @@
     try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK)) {
       closedPort = server.getLocalPort();
     }
-    loop.put(() -> streams.connect(new InetSocketAddress(LOOPBACK, closedPort)));
+    loop.put(() -> streams.connect(new InetSocketAddress(LOOPBACK, closedPort), null));
     assertEquals("lost TURNED_AWAY", nextEvent());
   }
 
@@ -125,7 +132,8 @@
     try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK)) {
       loop.put(
           () -> {
-            Stream stream = streams.connect(new InetSocketAddress(LOOPBACK, server.getLocalPort()));
+            Stream stream =
+                streams.connect(new InetSocketAddress(LOOPBACK, server.getLocalPort()), null);
             assertTrue(stream.send("early".getBytes(StandardCharsets.UTF_8)));
             events.add("send rejected " + !stream.send(new byte[1_000]));
           });
@@ -147,7 +155,8 @@
     try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK);
         Socket first = new Socket(LOOPBACK, server.getLocalPort());
         Socket second = new Socket(LOOPBACK, server.getLocalPort())) {
-      loop.put(() -> impatient.connect(new InetSocketAddress(LOOPBACK, server.getLocalPort())));
+      loop.put(
+          () -> impatient.connect(new InetSocketAddress(LOOPBACK, server.getLocalPort()), null));
       assertEquals("lost NOT_MADE", nextEvent());
       assertEquals(first.getLocalPort(), acceptPort(server));
       assertEquals(second.getLocalPort(), acceptPort(server));
@@ -283,4 +292,54 @@
     }
     assertFalse(other.isAlive());
   }
+
+  /** Releases were lost: what a switch wrote first on a new connection was read by nobody. */
+  @Test
+  @Timeout(30)
+  void whatThePeerWritesFirstIsReadAfterTheConnectionIsReported() throws Exception {
+    RecordingListener inOrder =
+        new RecordingListener() {
+          @Override
+          public void read(Stream stream, byte[] octets, double arrivedMillis) {
+            String text = new String(octets, StandardCharsets.UTF_8);
+            loop.execute(() -> events.add("read " + text + " for " + stream.attachment()));
+          }
+        };
+    Streams outbound = new Streams(sockets, loop, new Streams.Limits(3, 2, 1_000, 5_000), inOrder);
+    try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK)) {
+      server.setSoTimeout(10_000);
+      InetSocketAddress address = new InetSocketAddress(LOOPBACK, server.getLocalPort());
+      CountDownLatch written = new CountDownLatch(1);
+      waitAfterRegistration(written);
+      loop.put(() -> outbound.connect(address, "attached"));
+      try (Socket accepted = server.accept()) {
+        accepted.getOutputStream().write("first".getBytes(StandardCharsets.UTF_8));
+        TimeUnit.MILLISECONDS.sleep(SELECTOR_TURN_MILLIS);
+        written.countDown();
+        assertEquals("connected", nextEvent());
+        assertEquals("read first for attached", nextEvent());
+        assertEquals(0, outbound.discardedBytes());
+      }
+    }
+  }
+
+  /**
+   * Holds each thread that starts to connect, after its connection was registered with the selector
+   * thread, until a latch is counted down: the selector thread is first with all that follows.
+   */
+  private void waitAfterRegistration(CountDownLatch until) {
+    NIOChannelDistributor distributor = sockets.streamTransport().getNIOChannelDistributor();
+    InvocationHandler waiting =
+        (proxy, method, arguments) -> {
+          Object result = method.invoke(distributor, arguments);
+          assertTrue(until.await(10, TimeUnit.SECONDS));
+          return result;
+        };
+    Class<?>[] types = {NIOChannelDistributor.class};
+    sockets
+        .streamTransport()
+        .setNIOChannelDistributor(
+            (NIOChannelDistributor)
+                Proxy.newProxyInstance(getClass().getClassLoader(), types, waiting));
+  }
 }
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -194,6 +194,7 @@
     EventLogger.appendTime(line, loop.now());
     line.append(' ').append(frontEnd.stateSummary());
     line.append("; faults ").append(loop.failedTasks());
+    line.append("; octets discarded ").append(transport.discardedBytes());
     line.append("; lines left out ").append(eventLogger.takeSuppressedLines());
     line.append(changedCounters.isEmpty() ? "" : "; ").append(changedCounters);
     LOG.info(line.toString());
--- a/serve/src/main/java/coveladder/serve/SocketTransport.java
+++ b/serve/src/main/java/coveladder/serve/SocketTransport.java
@@ -69,11 +69,15 @@
 
   @Override
   public Connection connect(String host, int port, ConnectionListener listener) {
-    Stream stream = streams.connect(new InetSocketAddress(host, port));
-    stream.attachment(listener);
+    Stream stream = streams.connect(new InetSocketAddress(host, port), listener);
     return new SocketConnection(stream);
   }
 
+  /** Returns the number of octets that were read from connections closed by this side. */
+  long discardedBytes() {
+    return streams.discardedBytes();
+  }
+
   @Override
   public void stopListening() {
     streams.stopListening();
@@ -108,6 +112,7 @@
   public void read(Stream stream, byte[] octets, double arrivedMillis) {
     if (!pendingInputBudget.acquire(octets.length)) {
       // The thread was interrupted while it waited for the budget.
+      streams.countDiscarded(octets.length);
       return;
     }
     Runnable deliver =
@@ -115,6 +120,8 @@
           pendingInputBudget.release(octets.length);
           if (streams.contains(stream)) {
             listener(stream).received(octets, arrivedMillis);
+          } else {
+            streams.countDiscarded(octets.length);
           }
         };
     if (!stream.outbound()) {
