Arrivals are counted by intervals, congested numbers are bounded

What a window holds depends on its length alone: 101 intervals after 1,000,000 arrivals. Numbers whose lines were all busy: 10,000 at most, the one longest known is tried again.

--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -161,6 +161,9 @@
    */
   private static final double CONGESTED_NUMBER_PAUSE_MILLIS = 1000;
 
+  /** Maximum number of congested numbers that are remembered. */
+  private static final int MAX_CONGESTED_NUMBERS = 10_000;
+
   /** Set-ups that a warm processor handles for each call of its local callers. */
   private static final double SETUPS_PER_LOCAL_CALL = 2;
 
@@ -230,8 +233,8 @@
   /** Congested numbers and the end of their pause. */
   private final Map<String, Double> congestedNumbers = new LinkedHashMap<>();
 
-  /** Arrival times of the calls of local callers within the arrival window. */
-  private final ArrayDeque<Double> localArrivals = new ArrayDeque<>();
+  /** Calls of local callers within the arrival window. */
+  private ArrivalWindow localArrivals;
 
   private double localCallRate;
   private double startedAt;
@@ -283,6 +286,7 @@
     this.actions = actions;
     this.random = new SplittableRandom(seed);
     this.usesPools = settings.layout() == Layout.POOLS;
+    this.localArrivals = newArrivalWindow();
     this.classMix = new double[settings.classes().size()];
     this.maxPatience = new double[classMix.length];
     this.tandemAttempts = new double[classMix.length];
@@ -303,6 +307,7 @@
   public void onStart(double now) {
     startedAt = now;
     lastEventAt = now;
+    localArrivals = newArrivalWindow();
     actions.startTimer(RECOMPUTE_INTERVAL_MILLIS, RECOMPUTE_TIMER);
     actions.startTimer(HEARTBEAT_INTERVAL_MILLIS, HEARTBEAT_TIMER);
     if (settings.directoryOnRequest()) {
@@ -635,17 +640,21 @@
     if (call.transit()) {
       return;
     }
-    localArrivals.add(now);
+    localArrivals.add(now, call.type());
     if (!call.redial() && !call.returned() && !congestedNumbers.containsKey(call.number())) {
-      remoteExchange(call.destination()).arrivals.add(new double[] {now, call.type()});
+      remoteExchange(call.destination()).arrivals.add(now, call.type());
       classMix[call.type()]++;
       recentCalls++;
       recentWorth += settings.classes().get(call.type()).worth();
     }
   }
 
+  private ArrivalWindow newArrivalWindow() {
+    return new ArrivalWindow(startedAt, settings.classes().size());
+  }
+
   private void recomputeEstimates(double now) {
-    localArrivals.removeIf(arrivedAt -> arrivedAt < now - ARRIVAL_WINDOW_MILLIS);
+    localArrivals.removeBefore(now - ARRIVAL_WINDOW_MILLIS);
     double countedMillis =
         Math.min(ARRIVAL_WINDOW_MILLIS, Math.max(RECOMPUTE_INTERVAL_MILLIS, now - startedAt));
     localCallRate = localArrivals.size() / countedMillis;
@@ -960,7 +969,7 @@
 
   private void retryOrGiveFinalAnswer(double now, TrackedCall call, AttemptEnded ended) {
     if (ended.reason() == Reason.NUMBER_BUSY) {
-      congestedNumbers.put(call.request.number(), now + CONGESTED_NUMBER_PAUSE_MILLIS);
+      recordCongestion(now, call.request.number());
       refuse(call);
     } else if (call.request.transit()
         || now >= call.aimDeadline - MIN_TIME_TO_AIM_MILLIS
@@ -1010,6 +1019,14 @@
 
   // ---- Congested numbers --------------------------------------------------------------------
 
+  /** Starts the pause of a number; above the limit, the number longest known is tried again. */
+  private void recordCongestion(double now, String number) {
+    congestedNumbers.put(number, now + CONGESTED_NUMBER_PAUSE_MILLIS);
+    if (congestedNumbers.size() > MAX_CONGESTED_NUMBERS) {
+      congestedNumbers.remove(congestedNumbers.keySet().iterator().next());
+    }
+  }
+
   /**
    * Whether calls to this number are refused for now. The first call after a pause tries the number
    * and starts the next pause. This protects against a number, or a line behind it, that is busy
@@ -1052,8 +1069,8 @@
   private final class RemoteExchange {
     final int number;
 
-    /** Arrival time and class of the first calls to this exchange within the arrival window. */
-    final ArrayDeque<double[]> arrivals = new ArrayDeque<>();
+    /** First calls to this exchange within the arrival window. */
+    final ArrivalWindow arrivals = newArrivalWindow();
 
     /** Times of the set-ups sent within the cold-start window. */
     final ArrayDeque<Double> sendTimes = new ArrayDeque<>();
@@ -1169,7 +1186,7 @@
     }
 
     void recomputeThresholds(double now, double countedMillis) {
-      arrivals.removeIf(arrival -> arrival[0] < now - ARRIVAL_WINDOW_MILLIS);
+      arrivals.removeBefore(now - ARRIVAL_WINDOW_MILLIS);
       directCalls *= COUNTER_RETENTION;
       blockedCalls *= COUNTER_RETENTION;
       overflowedCalls *= COUNTER_RETENTION;
@@ -1190,8 +1207,7 @@
       double meanHold = 0;
       double meanWidth = 0;
       for (int classIndex = 0; classIndex < classMix.length; classIndex++) {
-        final int type = classIndex;
-        double arrivalCount = arrivals.stream().filter(arrival -> arrival[1] == type).count();
+        double arrivalCount = arrivals.size(classIndex);
         rates[classIndex] =
             (arrivalCount + CLASS_MIX_WEIGHT_CALLS * classMix[classIndex] / mixTotal)
                 / (arrivals.size() + CLASS_MIX_WEIGHT_CALLS);
