Set-ups of pending calls are bounded in memory, not only in number

What callers saw: 8 clients with 450 set-ups of 16 KB each, at once: 341 of 432 set-ups of the usual client never answered, the process hung; 2 clients that name calls of 16 KB as established (`at`), 3,256 in all: 204 of 423, the same (both on, 12 s).

Cause: pending calls were bounded by their number, 3,000, not by the octets of their descriptions, which stayed also for calls that were established or named as such (12,000), and for those waiting for their switch.

Change: the memory of pending set-ups is bounded by 6 MiB, beyond it a set-up is refused at once (42). One connection may take as much as it leaves free, so that one client does not shut out the others. An established call keeps no set-up, a call named as established no description; ids of switches have 64 characters at most.

The tests failed before (no refusal, 111 not sent).

--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -7,6 +7,7 @@
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import coveladder.isupfront.Transport.Loss;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -22,6 +23,10 @@
   private final Connection connection;
   private final CallerFramer framer;
   private final Set<String> pendingCalls = new LinkedHashSet<>();
+
+  /** Memory of the set-ups of the pending calls, octets. */
+  private long pendingOctets;
+
   private final RecentIds refusedDuplicateIds = new RecentIds(MAX_REFUSED_IDS);
   private final Map<String, ReleaseSender.Release> recentReleases = new LinkedHashMap<>();
 
@@ -58,7 +63,26 @@
 
   /** Ids of calls set up on this connection that have no final answer yet. */
   Set<String> pendingCalls() {
-    return pendingCalls;
+    return Collections.unmodifiableSet(pendingCalls);
+  }
+
+  /** Memory of the set-ups of the pending calls, octets. */
+  long pendingOctets() {
+    return pendingOctets;
+  }
+
+  /** Adds a pending call whose set-up takes the given memory, octets. */
+  void addPending(String id, int octets) {
+    if (pendingCalls.add(id)) {
+      pendingOctets += octets;
+    }
+  }
+
+  /** Removes a pending call whose set-up takes the given memory, octets. */
+  void removePending(String id, int octets) {
+    if (pendingCalls.remove(id)) {
+      pendingOctets -= octets;
+    }
   }
 
   /** Releases sent recently on this connection and not acknowledged, by call id. */
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -37,6 +37,10 @@
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Map<String, CallerCall> calls = new HashMap<>();
   private int pendingCount;
+
+  /** Memory of the set-ups of all pending calls, octets. */
+  private long pendingOctets;
+
   private long acceptedConnections;
 
   /** Whether the tests of callers fail, so that they send new calls to other controllers. */
@@ -50,7 +54,9 @@
    * which its caller last named it as established.
    */
   private static final class CallerCall {
-    final SetUp setUp;
+    /** The set-up; null once the call is established, as nothing of it is sent any more. */
+    SetUp setUp;
+
     CallerConnection connection;
     String description = "";
 
@@ -208,21 +214,40 @@
       resumeEstablished(connection, setUp, true);
     } else if (controller.call(id) != null || calls.containsKey(id)) {
       refuseDuplicate(connection, id);
-    } else if (refusingSetUps || pendingCount >= limits.maxPendingCalls()) {
-      log.refused(id, connection.name(), refusingSetUps ? "terminating" : "too many pending calls");
-      connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.CONGESTION));
+    } else if (refusingSetUps) {
+      refuseForCongestion(connection, id, "terminating");
+    } else if (pendingCount >= limits.maxPendingCalls()) {
+      refuseForCongestion(connection, id, "too many pending calls");
+    } else if (!hasMemoryFor(setUp, connection)) {
+      counters.increment("set-ups refused for the memory of pending calls");
+      refuseForCongestion(connection, id, "too many octets of pending calls");
     } else {
       acceptSetUp(connection, setUp, arrived);
     }
   }
 
+  private void refuseForCongestion(CallerConnection connection, String id, String reason) {
+    log.refused(id, connection.name(), reason);
+    connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.CONGESTION));
+  }
+
+  /**
+   * Whether the memory of pending calls has room for one more. One connection may take as much as
+   * it leaves free, so that a client with large set-ups does not shut out the others.
+   */
+  private boolean hasMemoryFor(SetUp setUp, CallerConnection connection) {
+    long freeOctets = limits.maxPendingOctets() - pendingOctets;
+    return connection.pendingOctets() + setUp.memoryOctets() <= freeOctets;
+  }
+
   private void acceptSetUp(CallerConnection connection, SetUp setUp, double arrived) {
     if (failingCallerTests) {
       counters.increment(setUp.transit() ? "late set-ups in transit" : "late set-ups of callers");
     }
     calls.put(setUp.id(), new CallerCall(setUp, connection));
-    connection.pendingCalls().add(setUp.id());
+    connection.addPending(setUp.id(), setUp.memoryOctets());
     pendingCount++;
+    pendingOctets += setUp.memoryOctets();
     endedCalls.forget(setUp.id());
     releases.setUpAccepted(connection);
     double unreadMillis = Math.max(0, scheduler.now() - arrived);
@@ -287,7 +312,7 @@
       return;
     }
     log.state(setUp.id(), connection.name(), "resumed at " + setUp.establishedAt());
-    calls.put(setUp.id(), new CallerCall(setUp, connection));
+    calls.put(setUp.id(), new CallerCall(null, connection));
     releases.callEstablished(connection);
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
   }
@@ -386,14 +411,17 @@
 
   private void markAnswered(String id) {
     CallerCall call = calls.get(id);
-    if (call != null && call.connection.pendingCalls().remove(id)) {
+    if (call != null && call.connection.pendingCalls().contains(id)) {
+      int octets = call.setUp.memoryOctets();
+      call.connection.removePending(id, octets);
       pendingCount--;
+      pendingOctets -= octets;
     }
   }
 
   // ---- Requests of the controller -----------------------------------------------------------
 
-  /** Returns the set-up of a tracked call; null if there is no such call. */
+  /** Returns the set-up of a pending call; null if there is no such call. */
   SetUp setUp(String id) {
     CallerCall call = calls.get(id);
     return call == null ? null : call.setUp;
@@ -418,6 +446,7 @@
       Map<Integer, byte[]> parameters = new LinkedHashMap<>();
       parameters.put(CallerMessage.DESCRIPTION, call.description.getBytes(StandardCharsets.UTF_8));
       call.description = "";
+      call.setUp = null;
       call.connection.send(new CallerMessage(CallerMessage.ANSWER, id, parameters));
       releases.callEstablished(call.connection);
     } else {
@@ -471,4 +500,9 @@
   int pendingCount() {
     return pendingCount;
   }
+
+  /** Memory of the set-ups of the calls without a final answer, octets. */
+  long pendingOctets() {
+    return pendingOctets;
+  }
 }
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -216,6 +216,11 @@
         && callers.pendingCount() == 0;
   }
 
+  /** Memory of the set-ups of the calls without a final answer, octets. */
+  long pendingOctets() {
+    return callers.pendingOctets();
+  }
+
   /** Counters of unusual events. */
   public Counters counters() {
     return counters;
--- a/isupfront/src/main/java/coveladder/isupfront/Limits.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Limits.java
@@ -6,6 +6,7 @@
  * @param maxMessageBytes maximum length of a message or line, octets
  * @param maxCallerConnections maximum number of caller connections
  * @param maxPendingCalls maximum number of calls without a final answer
+ * @param maxPendingOctets maximum memory of their set-ups, octets; see {@link SetUp#memoryOctets}
  * @param maxTrackedCalls number of pending and established calls at which no further call is
  *     resumed
  * @param callerSilenceMillis time after which a caller connection without pending calls is closed,
@@ -22,6 +23,7 @@
     int maxMessageBytes,
     int maxCallerConnections,
     int maxPendingCalls,
+    int maxPendingOctets,
     int maxTrackedCalls,
     double callerSilenceMillis,
     int maxUnusableMessages,
@@ -34,6 +36,9 @@
    */
   private static final int RESERVED_DESCRIPTORS = 64;
 
+  /** A seventh of the heap of the run line; 2 KiB for each call at the maximum number of calls. */
+  private static final int MAX_PENDING_OCTETS = 6 << 20;
+
   /**
    * Silence after which a switch is declared gone. The platform requires that calls which ended
    * unnoticed are released within 8 s of their end.
@@ -55,6 +60,7 @@
         16_384,
         callerConnections,
         3_000,
+        MAX_PENDING_OCTETS,
         12_000,
         2_000,
         20,
--- a/isupfront/src/main/java/coveladder/isupfront/SetUp.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SetUp.java
@@ -42,6 +42,15 @@
   /** Maximum length of a called number, characters. */
   private static final int MAX_NUMBER_LENGTH = 64;
 
+  /** Maximum length of the id of a switch, characters. */
+  private static final int MAX_SWITCH_ID_LENGTH = 64;
+
+  /** Memory of a set-up without the characters of its description, octets. */
+  private static final int BASE_MEMORY_OCTETS = 512;
+
+  /** Memory of a character, octets: two if one of the text is beyond Latin-1. */
+  private static final int OCTETS_PER_CHARACTER = 2;
+
   /** Maximum time left, as a multiple of the caller time-out of the call class. */
   private static final double MAX_TIME_LEFT_FACTOR = 4;
 
@@ -87,10 +96,10 @@
           new SetUp(
               message.callId(),
               classNumber,
-              name,
+              classNames.get(classNumber),
               parseTimeLeft(message.text(CallerMessage.LEFT), callClass, !establishedAt.isEmpty()),
               calledNumber,
-              message.text(CallerMessage.DESCRIPTION),
+              description(message, establishedAt),
               parseInteger("dest", figures.getOrDefault("dest", "-1")),
               parseInteger(
                   "width", figures.getOrDefault("width", Integer.toString(callClass.width()))),
@@ -102,7 +111,17 @@
       return setUp;
     }
 
+    /** Returns the description; that of an established call is checked, but needed no more. */
+    private static String description(CallerMessage message, String establishedAt)
+        throws MalformedException {
+      String description = message.text(CallerMessage.DESCRIPTION);
+      return establishedAt.isEmpty() ? description : "";
+    }
+
     private void check(SetUp setUp) throws MalformedException {
+      MalformedException.expect(
+          setUp.establishedAt.length() <= MAX_SWITCH_ID_LENGTH,
+          "an id of a switch of " + setUp.establishedAt.length() + " characters");
       MalformedException.expect(setUp.width >= 1 && setUp.width <= maxWidth, "width out of range");
       boolean established = !setUp.establishedAt.isEmpty();
       MalformedException.expect(
@@ -151,6 +170,11 @@
     }
   }
 
+  /** Returns an upper bound of the memory that the set-up takes, octets. */
+  int memoryOctets() {
+    return BASE_MEMORY_OCTETS + OCTETS_PER_CHARACTER * description.length();
+  }
+
   /**
    * Returns the call as reported to the policy.
    *
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -31,7 +31,7 @@
     harness =
         new FrontEndHarness(
                 actions -> policy = new ScriptedPolicy(actions),
-                new Limits(16_384, 4, 5, 6, 2_000, 3, 3, 300, 6_000))
+                new Limits(16_384, 4, 5, 60_000, 6, 2_000, 3, 3, 300, 6_000))
             .openSwitchConnections();
     caller = harness.connectCaller();
     policy.takeEvents();
@@ -227,7 +227,8 @@
   @Test
   void aSlowlyWrittenMessageDoesNotEndThePendingCallsOfItsConnection() {
     harness =
-        new FrontEndHarness(ScriptedPolicy::new, new Limits(16_384, 4, 5, 6, 500, 3, 3, 300, 6_000))
+        new FrontEndHarness(
+                ScriptedPolicy::new, new Limits(16_384, 4, 5, 60_000, 6, 500, 3, 3, 300, 6_000))
             .openSwitchConnections();
     caller = harness.connectCaller();
     caller.deliver(FrontEndHarness.setUp(7));
@@ -321,6 +322,49 @@
     assertEquals(0, served.frontEnd.controller().callCount());
   }
 
+  /** Pending set-ups were bounded in number only: 1,500 of 16 KB filled the heap. */
+  @Test
+  void largeSetUpsBeyondTheMemoryOfPendingCallsAreRefusedAtOnce() {
+    String large = "x".repeat(16_000);
+    caller.deliver(FrontEndHarness.setUp(1, 31, large));
+    assertEquals(List.of(), caller.takeSent());
+    caller.deliver(FrontEndHarness.setUp(2, 31, large));
+    assertEquals(List.of("12 2 cause 42"), caller.takeSent());
+    FrontEndHarness.FakeConnection other = harness.connectCaller();
+    other.deliver(FrontEndHarness.setUp(3));
+    other.deliver(FrontEndHarness.setUp(4, 31, "y".repeat(12_000)));
+    assertEquals(List.of(), other.takeSent());
+    caller.deliver(FrontEndHarness.release(1));
+    caller.takeSent();
+    caller.deliver(FrontEndHarness.setUp(5, 31, large));
+    assertEquals(List.of(), caller.takeSent(), "the memory of a call that ended is free again");
+  }
+
+  @Test
+  void theMemoryOfPendingCallsIsFreedHoweverTheyEnd() {
+    String large = "x".repeat(16_000);
+    for (int id = 1; id <= 40; id += 4) {
+      caller.deliver(FrontEndHarness.setUp(id, 31, large));
+      policy.actions.refuse(FrontEndHarness.callId(id), 0);
+      caller.deliver(FrontEndHarness.setUp(id + 1, 31, large));
+      caller.deliver(FrontEndHarness.release(id + 1));
+      caller.deliver(FrontEndHarness.setUp(id + 2, 31, large));
+      harness.clock.advance(1_100);
+      FrontEndHarness.FakeConnection closing = harness.connectCaller();
+      closing.deliver(FrontEndHarness.setUp(id + 3, 31, large));
+      closing.lose(Loss.CLOSED);
+    }
+    List<String> sent = caller.takeSent();
+    assertFalse(sent.stream().anyMatch(message -> message.endsWith("cause 42")), sent.toString());
+    assertEquals(0, harness.frontEnd.pendingOctets());
+  }
+
+  @Test
+  void aSwitchIdThatNoSwitchCanHaveIsRefused() {
+    caller.deliver(FrontEndHarness.setUp(7, 21, "at:" + "s".repeat(65)));
+    assertEquals(List.of("12 7 cause 111"), caller.takeSent());
+  }
+
   private static CallPolicy.Settings policySettings() {
     return PlatformSettings.read(FrontEndHarness.CONFIG).policySettings();
   }
