Messages that wait for a peer count with the memory they take

Cause: Stream counted the octets of queued messages alone. An answer of 14 octets takes some 270 with its buffer, write record and handler: 512 KB for one peer were 10 MB, 4 MB for all were 80 MB, twice the heap. And a message that was refused stayed counted, so that each peer reset for its queue made the room of all others smaller for good.

Change: each queued message counts 256 octets more; one that is not queued is not counted.

The tests failed before: 1,000 messages of one octet were queued where 3 have room; after 20 refused messages the next two were refused as well.

--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -17,6 +17,9 @@
 
 /** A stream connection, being established or open, with the bytes queued for it. */
 public final class Stream {
+  /** Memory of a queued message besides its bytes: buffer, write record and completion handler. */
+  static final int MESSAGE_OVERHEAD_BYTES = 256;
+
   /** Limit on the queued bytes of all streams together, in multiples of the limit of one. */
   private static final long TOTAL_LIMIT_FACTOR = 8;
 
@@ -38,8 +41,8 @@
    * Creates a stream that has no connection yet.
    *
    * @param outbound whether this node initiates the connection
-   * @param maxQueuedBytes maximum number of queued bytes; eight times as much for all streams
-   *     together
+   * @param maxQueuedBytes maximum memory of queued messages, bytes, {@link #MESSAGE_OVERHEAD_BYTES}
+   *     for each included; eight times as much for all streams together
    * @param totalQueuedBytes counter of the bytes queued on all streams of the node
    */
   Stream(
@@ -109,10 +112,12 @@
    *     this one has other bytes queued
    */
   public boolean send(byte[] octets) {
-    long streamBytes = queuedBytes.addAndGet(octets.length);
-    long totalBytes = totalQueuedBytes.addAndGet(octets.length);
+    int cost = cost(octets);
+    long streamBytes = queuedBytes.addAndGet(cost);
+    long totalBytes = totalQueuedBytes.addAndGet(cost);
     if (streamBytes > maxQueuedBytes
-        || totalBytes > TOTAL_LIMIT_FACTOR * maxQueuedBytes && streamBytes > octets.length) {
+        || totalBytes > TOTAL_LIMIT_FACTOR * maxQueuedBytes && streamBytes > cost) {
+      releaseQueued(cost);
       return false;
     }
     if (connection == null) {
@@ -123,32 +128,38 @@
     return true;
   }
 
+  /** Returns the memory that a message takes while it is queued, bytes. */
+  private static int cost(byte[] octets) {
+    return octets.length + MESSAGE_OVERHEAD_BYTES;
+  }
+
   private void transmit(byte[] octets) {
+    int cost = cost(octets);
     Buffer buffer = Buffers.wrap(connection.getMemoryManager(), octets);
     connection.write(
         buffer,
         new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
           @Override
           public void completed(WriteResult<Buffer, SocketAddress> result) {
-            releaseQueued(octets.length);
+            releaseQueued(cost);
           }
 
           @Override
           public void failed(Throwable cause) {
-            releaseQueued(octets.length);
+            releaseQueued(cost);
           }
 
           @Override
           public void cancelled() {
-            releaseQueued(octets.length);
+            releaseQueued(cost);
           }
         });
   }
 
   /** Subtracts bytes that are no longer queued, whether written or discarded. */
-  private void releaseQueued(int length) {
-    totalQueuedBytes.addAndGet(-length);
-    if (queuedBytes.addAndGet(-length) == 0 && closeRequested) {
+  private void releaseQueued(int cost) {
+    totalQueuedBytes.addAndGet(-cost);
+    if (queuedBytes.addAndGet(-cost) == 0 && closeRequested) {
       close();
     }
   }
@@ -164,7 +175,7 @@
   /** Discards the bytes that waited for the connection to be established. */
   void discardUnsent() {
     while (!unsent.isEmpty()) {
-      releaseQueued(unsent.poll().length);
+      releaseQueued(cost(unsent.poll()));
     }
   }
 
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -48,8 +48,8 @@
    *
    * @param maxConnections maximum number of connections, inbound and outbound
    * @param maxAccepted maximum number of inbound connections; further ones are closed at once
-   * @param maxQueuedBytes maximum number of bytes queued on one stream; eight times as much on all
-   *     streams together
+   * @param maxQueuedBytes maximum memory of the messages queued on one stream, bytes; eight times
+   *     as much on all streams together
    * @param connectTimeoutMillis time allowed to establish a connection, ms
    */
   public record Limits(
--- a/net/src/test/java/coveladder/net/StreamsTest.java
+++ b/net/src/test/java/coveladder/net/StreamsTest.java
@@ -293,6 +293,43 @@
     assertFalse(other.isAlive());
   }
 
+  /** Messages of a few bytes, queued for a peer that does not read, took many times their bytes. */
+  @Test
+  void theMemoryOfSmallMessagesThatWaitIsBounded() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK)) {
+      InetSocketAddress address = new InetSocketAddress(LOOPBACK, server.getLocalPort());
+      loop.put(
+          () -> {
+            Stream stream = streams.connect(address, null);
+            int accepted = 0;
+            while (stream.send(new byte[1])) {
+              accepted++;
+            }
+            events.add("accepted " + accepted);
+          });
+      assertEquals("accepted " + 1_000 / (Stream.MESSAGE_OVERHEAD_BYTES + 1), nextEvent());
+    }
+  }
+
+  /** Each refused message stayed counted, until no stream could have two messages queued. */
+  @Test
+  void aMessageThatIsNotQueuedIsNotCounted() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, LOOPBACK)) {
+      InetSocketAddress address = new InetSocketAddress(LOOPBACK, server.getLocalPort());
+      loop.put(
+          () -> {
+            Stream stream = streams.connect(address, null);
+            for (int i = 0; i < 20; i++) {
+              stream.send(new byte[1_000]);
+            }
+            boolean first = stream.send(new byte[1]);
+            boolean second = stream.send(new byte[1]);
+            events.add("queued " + first + " " + second);
+          });
+      assertEquals("queued true true", nextEvent());
+    }
+  }
+
   /** Releases were lost: what a switch wrote first on a new connection was read by nobody. */
   @Test
   @Timeout(30)
