Input, timers and other tasks share the event loop by turns of 5 ms

What callers saw: clients that send releases of unknown ids at full speed (three), or tests (three, or eight that read nothing), while others use the controller: 62, 257 and 267 of some 390 set-ups never answered in 12 s, switches declared gone.

Cause: up to 64 reads of callers, each of up to thousands of messages, ran before each ordinary task and timer; and each read left a wake-up in the queue of ordinary tasks, so that an answer of a switch waited behind up to 8,192 of them, each with one more read. One read could take whatever the socket held, and a megabyte of callers' input could wait.

Change: urgent tasks, prioritized tasks and all others each have 5 ms in turn while none run out; one wake-up at most is queued; both queues are bounded, and other threads wait for room. A read brings 8 KiB at most, and the input of callers (64 KiB) and of peers (256 KiB) that waits is bounded apart, with 128 octets for each read.

The test failed before: an ordinary task beside a flood did not run within 1 s.

--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -1,9 +1,12 @@
 package coveladder.net;
 
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
@@ -16,9 +19,15 @@
 public final class EventLoop implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
 
-  /** Maximum number of queued tasks per iteration, and of prioritized tasks run at a time. */
+  /** Maximum number of queued tasks per iteration. */
   private static final int MAX_BATCH_TASKS = 64;
 
+  /**
+   * Time for which urgent tasks, prioritized ones and all others each run in turn while none of
+   * them run out; short compared with every time limit of a peer.
+   */
+  private static final long TURN_NANOS = 5_000_000;
+
   /** Number of cancelled timers that may stay in the heap, whatever its size. */
   private static final int MAX_IDLE_CANCELLED_TIMERS = 64;
 
@@ -26,8 +35,9 @@
 
   private final long originNanos;
   private final ArrayBlockingQueue<Runnable> taskQueue;
-  private final ConcurrentLinkedQueue<Runnable> urgentTasks = new ConcurrentLinkedQueue<>();
-  private final ConcurrentLinkedQueue<Runnable> prioritizedTasks = new ConcurrentLinkedQueue<>();
+  private final PreferredQueue urgentTasks;
+  private final PreferredQueue prioritizedTasks;
+  private final AtomicBoolean wakeUpQueued = new AtomicBoolean();
   private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
   private final AtomicLong droppedTasks = new AtomicLong();
   private final Thread thread;
@@ -39,6 +49,65 @@
   /** Number of entries of {@code timers} that are cancelled. */
   private int cancelledTimers;
 
+  /** Tasks that run before timers and ordinary tasks, for one turn at a time. */
+  private final class PreferredQueue {
+    private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final Semaphore room;
+
+    /** Clock until which it is the turn of the other tasks, ns. */
+    private long othersUntilNanos = System.nanoTime();
+
+    PreferredQueue(int capacity) {
+      room = new Semaphore(capacity);
+    }
+
+    /** Adds a task. Other threads than that of the loop wait while the queue is full. */
+    void add(Runnable task) throws InterruptedException {
+      if (Thread.currentThread() == thread) {
+        tasks.add(task);
+      } else {
+        room.acquire();
+        tasks.add(
+            () -> {
+              room.release();
+              task.run();
+            });
+      }
+    }
+
+    boolean isEmpty() {
+      return tasks.isEmpty();
+    }
+
+    /** Runs tasks until there are none left or the turn is over, unless it is that of others. */
+    void runTurn() {
+      long now = System.nanoTime();
+      if (tasks.isEmpty() || now - othersUntilNanos < 0) {
+        return;
+      }
+      long endNanos = now + TURN_NANOS;
+      while (now - endNanos < 0 && runNext(tasks)) {
+        now = System.nanoTime();
+      }
+      if (!tasks.isEmpty()) {
+        othersUntilNanos = now + TURN_NANOS;
+      }
+    }
+
+    /** Ends the turn of the others, as they have nothing to run. */
+    void endTurnOfOthers() {
+      othersUntilNanos = System.nanoTime();
+    }
+  }
+
+  private boolean runNext(Queue<Runnable> tasks) {
+    Runnable task = tasks.poll();
+    if (task != null) {
+      runGuarded(task);
+    }
+    return task != null;
+  }
+
   /** Handle of a scheduled timer. */
   public interface Timer {
     /** Cancels the timer, on the loop thread; has no effect once it has run. */
@@ -87,11 +156,13 @@
    *
    * @param name thread name
    * @param originNanos value of {@link System#nanoTime} at which this clock reads 0
-   * @param queueCapacity maximum number of queued tasks
+   * @param queueCapacity maximum number of queued tasks, and of urgent and prioritized ones
    */
   public EventLoop(String name, long originNanos, int queueCapacity) {
     this.originNanos = originNanos;
     this.taskQueue = new ArrayBlockingQueue<>(queueCapacity);
+    this.urgentTasks = new PreferredQueue(queueCapacity);
+    this.prioritizedTasks = new PreferredQueue(queueCapacity);
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -146,36 +217,48 @@
   }
 
   /**
-   * Submits a task that runs before all other queued tasks. The queue of urgent tasks is unbounded:
-   * it is meant for few tasks, whose number the caller limits.
+   * Submits a task that runs before all other queued tasks. Other threads block while the queue of
+   * these tasks is full.
    */
   public void executeUrgent(Runnable task) {
-    urgentTasks.add(task);
-    execute(this::runPriorityTasks);
+    executePreferred(urgentTasks, task);
   }
 
   /**
    * Submits a task that runs before timers and ordinary tasks, but after those of {@link
    * #executeUrgent}. Input that has already arrived is thus processed before a timer or task acts
-   * on outdated state. The queue of these tasks is unbounded.
+   * on outdated state. Other threads block while the queue of these tasks is full.
    */
   public void executePrioritized(Runnable task) {
-    prioritizedTasks.add(task);
-    execute(this::runPriorityTasks);
+    executePreferred(prioritizedTasks, task);
   }
 
-  /** Runs all urgent tasks, then at most one batch of prioritized tasks. */
-  private void runPriorityTasks() {
-    for (Runnable task = urgentTasks.poll(); task != null; task = urgentTasks.poll()) {
-      runGuarded(task);
+  private void executePreferred(PreferredQueue queue, Runnable task) {
+    try {
+      queue.add(task);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return;
     }
-    Runnable task = prioritizedTasks.poll();
-    for (int i = 1; task != null; i++) {
-      runGuarded(task);
-      task = i < MAX_BATCH_TASKS ? prioritizedTasks.poll() : null;
+    if (wakeUpQueued.compareAndSet(false, true)) {
+      execute(this::wakeUp);
     }
   }
 
+  private void wakeUp() {
+    wakeUpQueued.set(false);
+    runPriorityTasks();
+  }
+
+  /**
+   * Runs the urgent tasks and then the prioritized ones. Under a flood of them, timers and ordinary
+   * tasks have their turn in between, so that no kind of input keeps out another.
+   */
+  private void runPriorityTasks() {
+    urgentTasks.runTurn();
+    prioritizedTasks.runTurn();
+  }
+
   /**
    * Sets a timer, on the loop thread or before the loop starts.
    *
@@ -227,8 +310,11 @@
   private void runOnce() throws InterruptedException {
     long waitNanos = nanosUntilNextTimer();
     Runnable task = taskQueue.poll();
-    if (task == null) {
-      task = taskQueue.poll(waitNanos, TimeUnit.NANOSECONDS);
+    if (task == null && waitNanos > 0) {
+      urgentTasks.endTurnOfOthers();
+      prioritizedTasks.endTurnOfOthers();
+      boolean idle = urgentTasks.isEmpty() && prioritizedTasks.isEmpty();
+      task = idle ? taskQueue.poll(waitNanos, TimeUnit.NANOSECONDS) : null;
     }
     waitWhilePaused();
     runPriorityTasks();
--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -29,6 +29,12 @@
 public final class Sockets implements AutoCloseable {
   private static final int MAX_DATAGRAM_BYTES = 65_536;
 
+  /**
+   * Maximum number of bytes read from a stream at a time. Connections are read in turn: what one
+   * read brings is the work that a connection can cause before the others get theirs.
+   */
+  private static final int STREAM_READ_BYTES = 8_192;
+
   /** Maximum number of connections that wait to be accepted by the process. */
   private static final int ACCEPT_BACKLOG = 4_096;
 
@@ -59,6 +65,7 @@
         TCPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
             .setSelectorThreadPoolConfig(selectorThreadPool("tcp"))
+            .setReadBufferSize(STREAM_READ_BYTES)
             .setReuseAddress(true)
             .setTcpNoDelay(true)
             .setServerConnectionBackLog(ACCEPT_BACKLOG)
--- a/net/src/test/java/coveladder/net/EventLoopTest.java
+++ b/net/src/test/java/coveladder/net/EventLoopTest.java
@@ -6,18 +6,29 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Tests the timers of the loop and what it keeps of them. */
 class EventLoopTest {
+  private static final int QUEUE_CAPACITY = 100;
+
+  private static final int FLOOD_QUEUE_CAPACITY = 8_192;
+
+  /** Time within which a release has to be passed on, ms (protocol of the platform). */
+  private static final long RELEASE_LIMIT_MILLIS = 1_000;
+
   private EventLoop loop;
 
   @BeforeEach
   void startLoop() {
-    loop = new EventLoop("test", System.nanoTime(), 100);
+    loop = new EventLoop("test", System.nanoTime(), QUEUE_CAPACITY);
     loop.start();
   }
 
@@ -74,4 +85,75 @@
         });
     assertEquals("cancelled", first.get(10, TimeUnit.SECONDS));
   }
+
+  /** Callers that sent at full speed kept the answers of switches and timers waiting. */
+  @Test
+  @Timeout(30)
+  void aFloodOfPrioritizedTasksLeavesTurnsToTimersAndOrdinaryTasks() throws Exception {
+    AtomicBoolean flooding = new AtomicBoolean(true);
+    try (EventLoop flooded = new EventLoop("flooded", System.nanoTime(), FLOOD_QUEUE_CAPACITY)) {
+      flooded.start();
+      Thread flood = new Thread(() -> flood(flooded, flooding));
+      flood.setDaemon(true);
+      flood.start();
+      while (flood.getState() != Thread.State.WAITING) {
+        TimeUnit.MILLISECONDS.sleep(1);
+      }
+      for (int i = 0; i < 5; i++) {
+        CountDownLatch task = new CountDownLatch(1);
+        CountDownLatch timer = new CountDownLatch(1);
+        flooded.put(task::countDown);
+        assertTrue(task.await(RELEASE_LIMIT_MILLIS, TimeUnit.MILLISECONDS), "ordinary task");
+        flooded.put(() -> flooded.after(1, timer::countDown));
+        assertTrue(timer.await(2 * RELEASE_LIMIT_MILLIS, TimeUnit.MILLISECONDS), "timer");
+      }
+    } finally {
+      flooding.set(false);
+    }
+  }
+
+  private static void flood(EventLoop loop, AtomicBoolean flooding) {
+    while (flooding.get()) {
+      loop.executePrioritized(() -> busyMillis(1));
+    }
+  }
+
+  @Test
+  @Timeout(30)
+  void otherThreadsWaitWhileTheQueueOfPrioritizedTasksIsFull() throws Exception {
+    CountDownLatch unblock = new CountDownLatch(1);
+    loop.put(() -> awaitUnchecked(unblock));
+    AtomicInteger added = new AtomicInteger();
+    Thread adding =
+        new Thread(
+            () -> {
+              for (int i = 0; i < 2 * QUEUE_CAPACITY; i++) {
+                loop.executePrioritized(() -> {});
+                added.incrementAndGet();
+              }
+            });
+    adding.start();
+    while (adding.getState() != Thread.State.WAITING) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertEquals(QUEUE_CAPACITY, added.get());
+    unblock.countDown();
+    adding.join();
+    assertEquals(2 * QUEUE_CAPACITY, added.get());
+  }
+
+  private static void busyMillis(long millis) {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (System.nanoTime() < endNanos) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private static void awaitUnchecked(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 }
--- a/serve/src/main/java/coveladder/serve/SocketTransport.java
+++ b/serve/src/main/java/coveladder/serve/SocketTransport.java
@@ -12,19 +12,29 @@
 
 /**
  * Implements the front end's transport on sockets. Bytes that were read are handed to the event
- * loop; a budget limits those that wait for it.
+ * loop; budgets limit those that wait for it, and past them nothing is read.
  *
  * <p>Input and closes of callers are processed before timers and other tasks, so that no call is
  * sent on whose caller has released it or disconnected. Updates of the exchange directory are
  * processed before both.
  */
 final class SocketTransport implements Transport, Streams.Listener {
-  /** Maximum number of bytes that were read and wait for the event loop. */
-  private static final int MAX_PENDING_INPUT_BYTES = 1 << 20;
+  /**
+   * Maximum number of bytes of callers that were read and wait for the event loop; some tens of
+   * milliseconds of its work, however short the messages are.
+   */
+  private static final int MAX_PENDING_CALLER_BYTES = 1 << 16;
+
+  /** Maximum number of bytes of switches and the journal service that wait for the event loop. */
+  private static final int MAX_PENDING_PEER_BYTES = 1 << 18;
+
+  /** Memory of a read besides its bytes. */
+  private static final int READ_OVERHEAD_BYTES = 128;
 
   private final EventLoop loop;
   private final Streams streams;
-  private final ByteBudget pendingInputBudget = new ByteBudget(MAX_PENDING_INPUT_BYTES);
+  private final ByteBudget callerBudget = new ByteBudget(MAX_PENDING_CALLER_BYTES);
+  private final ByteBudget peerBudget = new ByteBudget(MAX_PENDING_PEER_BYTES);
   private Function<Connection, ConnectionListener> acceptor = connection -> null;
 
   SocketTransport(Sockets sockets, EventLoop loop, Streams.Limits limits) {
@@ -110,14 +120,16 @@
 
   @Override
   public void read(Stream stream, byte[] octets, double arrivedMillis) {
-    if (!pendingInputBudget.acquire(octets.length)) {
+    ByteBudget budget = stream.outbound() ? peerBudget : callerBudget;
+    int cost = octets.length + READ_OVERHEAD_BYTES;
+    if (!budget.acquire(cost)) {
       // The thread was interrupted while it waited for the budget.
       streams.countDiscarded(octets.length);
       return;
     }
     Runnable deliver =
         () -> {
-          pendingInputBudget.release(octets.length);
+          budget.release(cost);
           if (streams.contains(stream)) {
             listener(stream).received(octets, arrivedMillis);
           } else {
