SIP messages that are read before the element is started are delivered after it

What callers saw: a request sent over TCP between the opening of the ports and the start of the element was never answered; over TCP nobody repeats it.

Cause: SocketNode opens its ports in its constructor and dropped, without a trace, what came before start.

Change: up to 1,000 messages wait for the start; more are counted (coveladder_messages_discarded). The pong of a keep-alive no longer needs room in the loop's queue.

The test failed before: nothing was received.

--- a/app/src/main/java/coveladder/app/Daemon.java
+++ b/app/src/main/java/coveladder/app/Daemon.java
@@ -204,6 +204,8 @@
         .register(meterRegistry);
     Gauge.builder("coveladder.peers.let.go", node, SocketNode::overflowDisconnects)
         .register(meterRegistry);
+    Gauge.builder("coveladder.messages.discarded", node, SocketNode::discardedMessages)
+        .register(meterRegistry);
     Gauge.builder("coveladder.messages.unreadable", frontEnd, f -> f.stack().malformedMessages())
         .register(meterRegistry);
     Gauge.builder("coveladder.setups.held.back", guard, AttemptGuard::suppressed)
--- a/net/src/main/java/coveladder/net/SocketNode.java
+++ b/net/src/main/java/coveladder/net/SocketNode.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -30,6 +31,9 @@
   /** Maximum number of attempts to find a port that is free for both TCP and UDP. */
   private static final int MAX_BIND_ATTEMPTS = 50;
 
+  /** Maximum number of messages that wait for the element to be started. */
+  private static final int MAX_EARLY_MESSAGES = 1_000;
+
   /** Keep-alive ping and pong (RFC 5626 section 3.5.1). */
   private static final byte[] PING = {'\r', '\n', '\r', '\n'};
 
@@ -42,11 +46,16 @@
   private final Streams streams;
   private final FilterChain datagramChain = Sockets.chain(new DatagramFilter());
   private final Map<Hop, Stream> streamsByHop = new HashMap<>();
+
+  /** Messages that were read before the element was started. */
+  private final ArrayDeque<Runnable> earlyMessages = new ArrayDeque<>();
+
   private final String host;
   private int port;
   private Connection<SocketAddress> datagramConnection;
   private volatile SipNode node;
   private long overflowDisconnects;
+  private long discardedMessages;
 
   /**
    * Binds a node.
@@ -103,6 +112,8 @@
         () -> {
           node = element;
           element.start();
+          earlyMessages.forEach(Runnable::run);
+          earlyMessages.clear();
           loop.after(limits.pingIntervalMillis(), this::pingAll);
         });
   }
@@ -117,6 +128,11 @@
     return overflowDisconnects;
   }
 
+  /** Returns how many messages were discarded as too many came before the element was started. */
+  public long discardedMessages() {
+    return discardedMessages;
+  }
+
   /** Returns the number of stream connections, including those being established. */
   public int connectionCount() {
     return streamsByHop.size();
@@ -262,12 +278,18 @@
   }
 
   private boolean deliver(Hop from, byte[] message, double arrivedMillis) {
-    return loop.offer(
-        () -> {
-          if (node != null) {
-            node.receive(from, message, arrivedMillis);
-          }
-        });
+    return loop.offer(() -> deliverOnceStarted(() -> node.receive(from, message, arrivedMillis)));
+  }
+
+  /** Delivers a message now, or when the element is started: the ports are open before. */
+  private void deliverOnceStarted(Runnable delivery) {
+    if (node != null) {
+      delivery.run();
+    } else if (earlyMessages.size() < MAX_EARLY_MESSAGES) {
+      earlyMessages.add(delivery);
+    } else {
+      discardedMessages++;
+    }
   }
 
   /** Delivers each datagram as one message. */
@@ -284,7 +306,7 @@
   private final class StreamState {
     final Hop hop;
     final StreamFramer framer = new StreamFramer(limits.maxHeadBytes(), limits.maxBodyBytes());
-    boolean awaitingPong;
+    volatile boolean awaitingPong;
 
     StreamState(Hop hop) {
       this.hop = hop;
@@ -318,7 +340,7 @@
       StreamState state = (StreamState) stream.attachment();
       // Input as short as a ping or pong counts as the answer to an outstanding ping.
       if (octets.length <= PING.length) {
-        loop.offer(() -> state.awaitingPong = false);
+        state.awaitingPong = false;
       }
       try {
         state.framer.feed(
--- a/net/src/test/java/coveladder/net/SocketNodeTest.java
+++ b/net/src/test/java/coveladder/net/SocketNodeTest.java
@@ -240,4 +240,33 @@
             IOException.class, () -> new SocketNode(sockets, loop, LIMITS, HOST, node.port(), 1));
     assertEquals(true, error.getMessage().contains(Integer.toString(node.port())));
   }
+
+  /** A request that came between the opening of the ports and the start was never answered. */
+  @Test
+  void messagesReadBeforeTheStartAreDeliveredAfterIt() throws Exception {
+    try (SocketNode early = new SocketNode(sockets, loop, LIMITS, HOST, 0, 1);
+        Socket tcp = new Socket(HOST, early.port())) {
+      String message = "A b SIP/2.0\r\nl: 3\r\n\r\nxyz";
+      tcp.getOutputStream().write(bytes(message));
+      TimeUnit.MILLISECONDS.sleep(300);
+      BlockingQueue<String> received = new LinkedBlockingQueue<>();
+      early.start(
+          new SipNode() {
+            @Override
+            public void start() {
+              received.add("started");
+            }
+
+            @Override
+            public void receive(Hop from, byte[] octets, double arrivedMillis) {
+              received.add(new String(octets, StandardCharsets.ISO_8859_1));
+            }
+
+            @Override
+            public void connectionFailed(Hop hop, Failure failure) {}
+          });
+      assertEquals("started", received.poll(10, TimeUnit.SECONDS));
+      assertEquals(message, received.poll(10, TimeUnit.SECONDS));
+    }
+  }
 }
