What is kept for messages that may still come is dropped when its time is over

Callers saw nothing of it: after 12,000 releases of unknown ids their ends stayed in memory until more of their kind came, and ids of cancelled set-ups stayed without a limit of time.

Cause: ExpiringMap and ReleaseSender dropped what was too old only when something was added.

Change: the periodic checks drop it; ids of cancelled set-ups are kept for 30 s; a release to a caller that is dropped after 30 s without a connection is logged.

The test failed before: 150 entries were left 31 s after the last message where none is expected.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -322,9 +322,19 @@
     deferredResumptions.takeAll().forEach(this::resumeDeferred);
   }
 
-  /** Ends the wait of calls that were deferred for too long. */
-  void expireDeferredResumptions() {
+  /**
+   * Ends the wait of calls that were deferred for too long, and forgets what was kept for messages
+   * that are not awaited any more.
+   */
+  void dropExpired() {
     deferredResumptions.takeExpired().forEach(this::resumeDeferred);
+    endedCalls.dropExpired();
+    releases.dropExpired();
+  }
+
+  /** Number of entries kept for messages that may still come. */
+  int keptEntries() {
+    return endedCalls.size() + deferredResumptions.size() + releases.unsentCount();
   }
 
   private void resumeDeferred(DeferredResumptions.Deferred deferred) {
--- a/isupfront/src/main/java/coveladder/isupfront/EndedCalls.java
+++ b/isupfront/src/main/java/coveladder/isupfront/EndedCalls.java
@@ -58,6 +58,11 @@
     ends.remove(id);
   }
 
+  /** Drops the ends that were remembered for their time. */
+  void dropExpired() {
+    ends.dropExpired();
+  }
+
   /** Number of ends held. */
   int size() {
     return ends.size();
--- a/isupfront/src/main/java/coveladder/isupfront/ExpiringMap.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ExpiringMap.java
@@ -38,7 +38,8 @@
     dropExpired();
   }
 
-  private void dropExpired() {
+  /** Drops the values that were kept for their time. */
+  void dropExpired() {
     Iterator<Entry<V>> oldest = entries.values().iterator();
     while (oldest.hasNext() && (isExpired(oldest.next()) || entries.size() > capacity)) {
       oldest.remove();
@@ -55,8 +56,10 @@
     return entry == null || isExpired(entry) ? null : entry.value();
   }
 
-  void remove(String id) {
-    entries.remove(id);
+  /** Removes the value of a call; returns whether one was kept. */
+  boolean remove(String id) {
+    Entry<V> entry = entries.remove(id);
+    return entry != null && !isExpired(entry);
   }
 
   boolean isEmpty() {
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -155,7 +155,7 @@
   private void runPeriodicChecks() {
     switches.checkConnections();
     callers.closeSilentConnections();
-    callers.expireDeferredResumptions();
+    callers.dropExpired();
     journal.resubscribeIfSilent();
     advanceShutdown();
     scheduler.schedule(CHECK_INTERVAL_MILLIS, this::runPeriodicChecks);
@@ -221,6 +221,11 @@
     return callers.pendingOctets();
   }
 
+  /** Number of ends of calls, releases and ids kept for messages that may still come. */
+  int keptEntries() {
+    return callers.keptEntries() + switches.keptIds();
+  }
+
   /** Counters of unusual events. */
   public Counters counters() {
     return counters;
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
@@ -116,6 +116,26 @@
     return mostUsed;
   }
 
+  /** Drops the releases that have waited for their time, and those that have surely been read. */
+  void dropExpired() {
+    double now = scheduler.now();
+    Iterator<Map.Entry<String, Release>> oldest = unsent.entrySet().iterator();
+    while (oldest.hasNext()) {
+      Map.Entry<String, Release> next = oldest.next();
+      if (now - next.getValue().timeMillis() < UNSENT_LIFETIME_MILLIS) {
+        break;
+      }
+      log.ignored(next.getKey(), "", "release " + next.getValue().cause() + " waited too long");
+      oldest.remove();
+    }
+    connectionsWithCalls.forEach(this::forgetOldReleases);
+  }
+
+  /** Number of releases that wait for a connection. */
+  int unsentCount() {
+    return unsent.size();
+  }
+
   private boolean send(CallerConnection connection, String id, int cause) {
     forgetOldReleases(connection);
     boolean sent = connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -99,6 +99,11 @@
     recentReleases.put(id, id);
   }
 
+  /** Drops the releases that have surely arrived. */
+  void dropExpired() {
+    recentReleases.dropExpired();
+  }
+
   /** Removes and returns the calls released here so lately that the switch may not know. */
   Set<String> takeUnconfirmedReleases() {
     return recentReleases.takeAll().keySet();
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -57,6 +57,9 @@
   /** Maximum number of cancelled set-ups remembered, to release a late answer to one. */
   private static final int MAX_CANCELLED_IDS = 2_048;
 
+  /** Time for which a cancelled set-up is remembered; no answer to it is awaited after that. */
+  private static final double CANCELLED_LIFETIME_MILLIS = 30_000;
+
   /** Time for which a release waits for a connection to the switch. */
   private static final double UNSENT_LIFETIME_MILLIS = 30_000;
 
@@ -67,7 +70,7 @@
   private final PlatformSettings.Address address;
   private final List<SwitchConnection> connections = new ArrayList<>();
   private final Map<String, EstablishedCall> established = new LinkedHashMap<>();
-  private final RecentIds cancelledIds = new RecentIds(MAX_CANCELLED_IDS);
+  private final ExpiringMap<String> cancelledIds;
 
   /** Calls whose release waits for a connection. */
   private final ExpiringMap<String> unsentReleases;
@@ -131,6 +134,8 @@
   SwitchLink(ExchangeDirectory.Entry entry, SwitchLinks links) {
     this.entry = entry;
     this.links = links;
+    this.cancelledIds =
+        new ExpiringMap<>(links.scheduler(), MAX_CANCELLED_IDS, CANCELLED_LIFETIME_MILLIS);
     this.unsentReleases =
         new ExpiringMap<>(
             links.scheduler(), links.limits().maxTrackedCalls(), UNSENT_LIFETIME_MILLIS);
@@ -319,6 +324,7 @@
    */
   void checkConnections() {
     double now = links.now();
+    dropExpired();
     for (SwitchConnection connection : new ArrayList<>(connections)) {
       if (connection.hasStalledLine(now, links.limits().partialLineMillis())) {
         links.counters().increment("switch connections reset as stuck within a line");
@@ -342,6 +348,17 @@
     }
   }
 
+  private void dropExpired() {
+    cancelledIds.dropExpired();
+    unsentReleases.dropExpired();
+    connections.forEach(SwitchConnection::dropExpired);
+  }
+
+  /** Number of ids kept for messages that may still come. */
+  int keptIds() {
+    return cancelledIds.size() + unsentReleases.size();
+  }
+
   /** Whether the switch sent nothing for too long and did not refuse a connection either. */
   private boolean isSilent(double now) {
     return Double.isNaN(refusingSince) && now - lastHeardAt > links.limits().switchSilenceMillis();
@@ -488,7 +505,7 @@
         connection.outstanding().remove(id);
         if (outstanding.sent) {
           connection.sendClose(id);
-          cancelledIds.add(id);
+          cancelledIds.put(id, id);
           if (connection.lastReceivedAt() < outstanding.startedAt) {
             connection.markUnresponsive();
           }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -256,6 +256,11 @@
     }
   }
 
+  /** Number of ids that the links keep for messages that may still come. */
+  int keptIds() {
+    return links.values().stream().mapToInt(SwitchLink::keptIds).sum();
+  }
+
   /** Number of connections to switches. */
   int connectionCount() {
     return links.values().stream().mapToInt(SwitchLink::connectionCount).sum();
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -365,6 +365,22 @@
     assertEquals(List.of("12 7 cause 111"), caller.takeSent());
   }
 
+  /** What was kept for a limited time stayed until more of its kind came. */
+  @Test
+  void whatIsKeptForMessagesThatMayComeIsForgottenInTime() {
+    FrontEndHarness served = new FrontEndHarness(ScriptedPolicy::new).openSwitchConnections();
+    FrontEndHarness.FakeConnection connection = served.connectCaller();
+    for (int id = 1; id <= 50; id++) {
+      connection.deliver(FrontEndHarness.setUp(id));
+      connection.deliver(FrontEndHarness.release(id));
+      connection.deliver(FrontEndHarness.release(1_000 + id));
+      served.connectionTo(3).deliver(FrontEndHarness.close(2_000 + id, 16, ""));
+    }
+    assertTrue(served.frontEnd.keptEntries() >= 150, "kept: " + served.frontEnd.keptEntries());
+    served.clock.advance(31_000);
+    assertEquals(0, served.frontEnd.keptEntries());
+  }
+
   private static CallPolicy.Settings policySettings() {
     return PlatformSettings.read(FrontEndHarness.CONFIG).policySettings();
   }
