A set-up that waits for a connection ends when its switch leaves the list

Cause: SwitchLink.close dropped connections that were still being made, with the set-ups that waited for them. Such an attempt never ended: the policy counted it as outstanding toward that exchange for ever.

Change: close ends them as refused, or as reset if they were sent. The links count the attempts they hold; the test holds that number against the controller's.

The test failed before, for a switch that is gone and for one that moved: the attempt never ended.

--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -221,6 +221,11 @@
     return callers.pendingOctets();
   }
 
+  /** Number of attempts that the links to switches hold. */
+  int outstandingAtSwitches() {
+    return switches.outstandingCount();
+  }
+
   /** Number of ends of calls, releases and ids kept for messages that may still come. */
   int keptEntries() {
     return callers.keptEntries() + switches.keptIds();
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -428,11 +428,24 @@
     close();
   }
 
-  /** Resets all connections and opens no more; established calls continue. */
+  /**
+   * Resets all connections, with the set-ups outstanding on them or waiting for them, and opens no
+   * more; established calls continue.
+   */
   void close() {
     inDirectory = false;
-    connections.forEach(connection -> connection.reset("link closed"));
+    List<SwitchConnection> closed = new ArrayList<>(connections);
     connections.clear();
+    for (SwitchConnection connection : closed) {
+      boolean wasOpen = connection.isOpen();
+      connection.reset("link closed");
+      endOutstanding(connection, wasOpen);
+    }
+  }
+
+  /** Number of set-ups that are outstanding or wait for a connection. */
+  int outstandingCount() {
+    return connections.stream().mapToInt(connection -> connection.outstanding().size()).sum();
   }
 
   // ---- Requests of the controller -----------------------------------------------------------
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -256,6 +256,11 @@
     }
   }
 
+  /** Number of set-ups that are outstanding or wait for a connection. */
+  int outstandingCount() {
+    return links.values().stream().mapToInt(SwitchLink::outstandingCount).sum();
+  }
+
   /** Number of ids that the links keep for messages that may still come. */
   int keptIds() {
     return links.values().stream().mapToInt(SwitchLink::keptIds).sum();
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the start, the journal subscription, new configurations and the shutdown. */
 class LifecycleTest {
@@ -70,6 +71,25 @@
     assertEquals(List.of("53 0 cause 1"), caller.takeSent());
   }
 
+  /** A set-up that waited for a connection to a switch that left the list never ended. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aSetUpThatWaitsForAConnectionEndsWhenItsSwitchLeavesTheList(boolean moved) {
+    FrontEndHarness.FakeConnection caller = harness.connectCaller();
+    caller.deliver(FrontEndHarness.setUp(7));
+    assertEquals(1, harness.frontEnd.outstandingAtSwitches());
+    assertEquals(1, harness.frontEnd.controller().outstandingAttempts());
+    policy.takeEvents();
+    String event = journalEvent(2, "s1", moved ? "in_service" : "terminated");
+    harness.connectionTo(8500).deliver(moved ? event.replace("127.0.0.2:2", "127.0.0.2:9") : event);
+    harness.clock.advance(1);
+    assertTrue(
+        policy.takeEvents().contains("ended 7 REFUSED NONE"), "the attempt ends without effect");
+    assertEquals(0, harness.frontEnd.outstandingAtSwitches());
+    assertEquals(0, harness.frontEnd.controller().outstandingAttempts());
+    assertEquals(List.of("12 7 cause 34 wait 250"), caller.takeSent());
+  }
+
   @Test
   void appliesEventsOnceAndInOrder() {
     FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
