--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -17,16 +17,32 @@
 
 /**
  * Subscribes to the journal service and applies each event once and in order. If a connection
- * breaks, falls silent, skips an event or cannot be read, it subscribes again on a new connection
- * from the last applied event.
+ * breaks, skips an event or cannot be read, it subscribes again on a new connection from the last
+ * applied event.
+ *
+ * <p>If the service falls silent, it subscribes on a further connection as well and keeps those it
+ * has: a slow service is heard on the first one, a service that has forgotten a connection on a
+ * later one. The connection that brings the next line is kept, the others are reset.
  */
 final class JournalFollower {
-  /** Time without a line after which a connection is dead; the service sends one each second. */
+  /** Time without a line after which it subscribes again; the service sends one each second. */
   private static final double SILENCE_TIMEOUT_MILLIS = 1_500;
 
+  /**
+   * The same time once two further connections have brought no line either: a slow service must not
+   * be made slower.
+   */
+  private static final double REPEATED_SILENCE_TIMEOUT_MILLIS = 3_000;
+
+  /**
+   * Maximum number of connections. The first one is replaced after 12 s: a service is heard if its
+   * lines take up to that time.
+   */
+  private static final int MAX_SUBSCRIPTIONS = 5;
+
   private static final double MIN_RETRY_DELAY_MILLIS = 20;
   private static final double MAX_RETRY_DELAY_MILLIS = 250;
-  private static final int MAX_LINE_BYTES = 4 << 20;
+  private static final int MAX_LINE_BYTES = 1 << 20;
 
   private final CallController controller;
   private final Scheduler scheduler;
@@ -37,7 +53,16 @@
   private final Runnable confirmationListener;
   private PlatformSettings.Address address;
   private long position;
-  private Subscription subscription;
+
+  /** Connections to the service, oldest first. */
+  private final List<Subscription> subscriptions = new ArrayList<>();
+
+  /** Clock of the last line, or of the last connection made since, ms. */
+  private double lastProgressAt;
+
+  /** Number of connections made since the last line because the service was silent. */
+  private int silentAttempts;
+
   private double retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
 
   /**
@@ -69,7 +94,6 @@
   private final class Subscription implements ConnectionListener {
     private final LineFramer framer = new LineFramer(MAX_LINE_BYTES);
     private Connection connection;
-    private double lastLineAt = scheduler.now();
     private boolean receivedOctets;
 
     @Override
@@ -88,10 +112,12 @@
     }
 
     private void onLine(byte[] line) {
-      if (subscription != this) {
+      if (!subscriptions.contains(this)) {
         return;
       }
-      lastLineAt = scheduler.now();
+      keepOnly(this);
+      lastProgressAt = scheduler.now();
+      silentAttempts = 0;
       retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
       try {
         apply(JournalLine.decode(line));
@@ -109,8 +135,7 @@
     public void lost(Loss loss) {
       counters.increment("journal connections lost");
       log.closed("journal", "lost: " + loss);
-      if (subscription == this) {
-        subscription = null;
+      if (subscriptions.remove(this) && subscriptions.isEmpty()) {
         boolean firstBreak = receivedOctets && retryDelayMillis == MIN_RETRY_DELAY_MILLIS;
         reconnectAfter(firstBreak ? 0 : retryDelayMillis);
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
@@ -119,7 +144,7 @@
 
     private void reconnectAfter(double delayMillis) {
       log.retried("", "journal", "connects again in " + Math.round(delayMillis) + " ms");
-      scheduler.schedule(delayMillis, JournalFollower.this::connect);
+      scheduler.schedule(delayMillis, JournalFollower.this::connectIfNone);
     }
   }
 
@@ -134,42 +159,73 @@
       apply(line);
     }
     position = lastPosition;
-    connect();
+    connectIfNone();
   }
 
   /** Moves to another address of the service, continuing from the same position. */
   void moveTo(PlatformSettings.Address newAddress) {
     address = newAddress;
-    if (subscription != null) {
-      resubscribe(subscription, 0, "moved to another address");
+    if (!subscriptions.isEmpty()) {
+      resetAll("moved to another address");
+      scheduler.schedule(0, this::connectIfNone);
     }
   }
 
-  private void connect() {
-    if (subscription != null) {
-      return;
+  private void connectIfNone() {
+    if (subscriptions.isEmpty()) {
+      connect();
     }
-    subscription = new Subscription();
+  }
+
+  private void connect() {
+    Subscription subscription = new Subscription();
+    subscriptions.add(subscription);
+    lastProgressAt = scheduler.now();
     subscription.connection = transport.connect(address.host(), address.port(), subscription);
     subscription.connection.send(("tail " + position + "\n").getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Subscribes again after the failure of a connection, unless another one is left. */
   private void resubscribe(Subscription failed, double delayMillis, String reason) {
-    if (subscription == failed) {
-      log.closed("journal", "reset: " + reason);
-      failed.connection.reset();
-      subscription = null;
-      scheduler.schedule(delayMillis, this::connect);
+    if (subscriptions.remove(failed)) {
+      reset(failed, reason);
+      scheduler.schedule(delayMillis, this::connectIfNone);
+    }
+  }
+
+  private void reset(Subscription subscription, String reason) {
+    log.closed("journal", "reset: " + reason);
+    subscription.connection.reset();
+  }
+
+  private void resetAll(String reason) {
+    subscriptions.forEach(subscription -> reset(subscription, reason));
+    subscriptions.clear();
+  }
+
+  /** Resets all connections but one, which has brought a line. */
+  private void keepOnly(Subscription subscription) {
+    if (subscriptions.size() > 1) {
+      subscriptions.remove(subscription);
+      resetAll("another connection has brought a line");
+      subscriptions.add(subscription);
     }
   }
 
-  /** Subscribes again if the service has fallen silent. */
+  /** Subscribes on a further connection if the service has fallen silent. */
   void resubscribeIfSilent() {
-    if (subscription != null
-        && scheduler.now() - subscription.lastLineAt > SILENCE_TIMEOUT_MILLIS) {
-      counters.increment("journal connections given up as silent");
-      resubscribe(subscription, 0, "silent");
+    double timeoutMillis =
+        silentAttempts > 1 ? REPEATED_SILENCE_TIMEOUT_MILLIS : SILENCE_TIMEOUT_MILLIS;
+    if (subscriptions.isEmpty() || scheduler.now() - lastProgressAt <= timeoutMillis) {
+      return;
+    }
+    silentAttempts++;
+    counters.increment("journal connections added, as the service was silent");
+    log.retried("", "journal", "no line for " + Math.round(timeoutMillis) + " ms");
+    if (subscriptions.size() >= MAX_SUBSCRIPTIONS) {
+      reset(subscriptions.remove(0), "silent");
     }
+    connect();
   }
 
   /**
@@ -188,9 +244,7 @@
     }
     if (!line.event() || line.position() != position + 1) {
       counters.increment("journal events left out");
-      if (subscription != null) {
-        resubscribe(subscription, MIN_RETRY_DELAY_MILLIS, "an event is missing");
-      }
+      resubscribeAll("an event is missing");
       return;
     }
     position = line.position();
@@ -212,6 +266,13 @@
     directoryListener.run();
   }
 
+  private void resubscribeAll(String reason) {
+    if (!subscriptions.isEmpty()) {
+      resetAll(reason);
+      scheduler.schedule(MIN_RETRY_DELAY_MILLIS, this::connectIfNone);
+    }
+  }
+
   /** Position of the last applied event. */
   long position() {
     return position;
