--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -40,6 +40,9 @@
    */
   private static final int MAX_SUBSCRIPTIONS = 5;
 
+  /** Maximum number of switches listed; ten times the largest deployment. */
+  private static final int MAX_LISTED_SWITCHES = 1_000;
+
   private static final double MIN_RETRY_DELAY_MILLIS = 20;
   private static final double MAX_RETRY_DELAY_MILLIS = 250;
   private static final int MAX_LINE_BYTES = 1 << 20;
@@ -249,23 +252,39 @@
     }
     position = line.position();
     log.state("", "journal", "event " + position + " applied");
-    List<ExchangeDirectory.Entry> entries = new ArrayList<>();
-    for (JournalLine.Entry entry : line.entries()) {
-      entries.add(
-          new ExchangeDirectory.Entry(
-              entry.id(),
-              entry.exchangeNumber(),
-              "",
-              entry.host() + ":" + entry.port(),
-              ReportReader.state(entry.state()),
-              entry.startedAtMillis()));
-    }
     controller.updateDirectory(
         new ExchangeDirectory.Update(
-            line.snapshot(), controller.directory().version(), position, entries));
+            line.snapshot(), controller.directory().version(), position, listedEntries(line)));
     directoryListener.run();
   }
 
+  /** Returns the entries of an event, without new switches beyond the maximum number. */
+  private List<ExchangeDirectory.Entry> listedEntries(JournalLine line) {
+    ExchangeDirectory directory = controller.directory();
+    int room = MAX_LISTED_SWITCHES - (line.snapshot() ? 0 : directory.entries().size());
+    List<ExchangeDirectory.Entry> listed = new ArrayList<>();
+    for (JournalLine.Entry entry : line.entries()) {
+      boolean known = !line.snapshot() && directory.byId(entry.id()) != null;
+      if (known || room > 0) {
+        room -= known ? 0 : 1;
+        listed.add(directoryEntry(entry));
+      } else {
+        counters.increment("switches left out, as too many are listed");
+      }
+    }
+    return listed;
+  }
+
+  private static ExchangeDirectory.Entry directoryEntry(JournalLine.Entry entry) {
+    return new ExchangeDirectory.Entry(
+        entry.id(),
+        entry.exchangeNumber(),
+        "",
+        entry.host() + ":" + entry.port(),
+        ReportReader.state(entry.state()),
+        entry.startedAtMillis());
+  }
+
   private void resubscribeAll(String reason) {
     if (!subscriptions.isEmpty()) {
       resetAll(reason);
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -155,6 +155,19 @@
     assertEquals(5, openJournalConnections().size());
   }
 
+  /** A service that lists switches without end filled the heap. */
+  @Test
+  void theNumberOfListedSwitchesIsBounded() {
+    FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
+    for (int position = 2; position <= 1_500; position++) {
+      journal.deliver(journalEvent(position, "x" + position, "in_service"));
+    }
+    assertEquals(1_000, harness.frontEnd.controller().directory().entries().size());
+    journal.deliver(journalEvent(1_501, "x2", "terminated"));
+    journal.deliver(journalEvent(1_502, "y", "in_service"));
+    assertEquals("y", harness.frontEnd.controller().directory().byId("y").id());
+  }
+
   private List<FrontEndHarness.FakeConnection> journalConnections() {
     return harness.connections.stream().filter(connection -> connection.port == 8500).toList();
   }
