The pool of selector threads has a fixed size, so that no spare thread ends the process

Cause: to watch the selector threads, Sockets gave Grizzly a pool of its own from the default configuration, whose size is not that of the selectors: it started spare threads (8 for one selector in the test), which may end after 30 s without work. The main thread took that for the end of a selector thread.

Change: core and maximum size of the pool are the number of selectors, as in Grizzly's own configuration.

The test failed before: 8 threads started where 1 is expected.

--- a/net/src/main/java/coveladder/net/Sockets.java
+++ b/net/src/main/java/coveladder/net/Sockets.java
@@ -64,7 +64,7 @@
     tcp =
         TCPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
-            .setSelectorThreadPoolConfig(selectorThreadPool("tcp"))
+            .setSelectorThreadPoolConfig(selectorThreadPool("tcp", selectorThreadCount))
             .setReadBufferSize(STREAM_READ_BYTES)
             .setReuseAddress(true)
             .setTcpNoDelay(true)
@@ -75,8 +75,11 @@
     udp = datagrams ? startUdp(selectorThreadCount) : null;
   }
 
-  /** Returns the configuration of a pool whose threads are recorded. */
-  private ThreadPoolConfig selectorThreadPool(String protocol) {
+  /**
+   * Returns the configuration of a pool whose threads are recorded. Its size is fixed: none of its
+   * threads ends for want of work.
+   */
+  private ThreadPoolConfig selectorThreadPool(String protocol, int size) {
     ThreadFactory factory =
         task -> {
           String name = "selector-" + protocol + "-" + selectorThreads.size();
@@ -85,7 +88,16 @@
           selectorThreads.add(thread);
           return thread;
         };
-    return ThreadPoolConfig.defaultConfig().copy().setThreadFactory(factory);
+    return ThreadPoolConfig.defaultConfig()
+        .copy()
+        .setCorePoolSize(size)
+        .setMaxPoolSize(size)
+        .setThreadFactory(factory);
+  }
+
+  /** Returns the number of selector threads that were started. */
+  int startedSelectorThreads() {
+    return selectorThreads.size();
   }
 
   /** Returns whether all selector threads that were started run. */
@@ -97,7 +109,7 @@
     UDPNIOTransport transport =
         UDPNIOTransportBuilder.newInstance()
             .setIOStrategy(SameThreadIOStrategy.getInstance())
-            .setSelectorThreadPoolConfig(selectorThreadPool("udp"))
+            .setSelectorThreadPoolConfig(selectorThreadPool("udp", selectorThreadCount))
             .setReadBufferSize(MAX_DATAGRAM_BYTES)
             .setSelectorRunnersCount(selectorThreadCount)
             .build();
--- a/net/src/test/java/coveladder/net/StreamsTest.java
+++ b/net/src/test/java/coveladder/net/StreamsTest.java
@@ -282,6 +282,23 @@
     }
   }
 
+  /** Spare threads of the pool ended after 30 s without work, and the process with them. */
+  @Test
+  void thePoolOfSelectorThreadsHasNoSpareThreads() throws Exception {
+    int port = streams.listen(new InetSocketAddress(LOOPBACK, 0));
+    for (int i = 0; i < 50; i++) {
+      try (Socket socket = new Socket(LOOPBACK, port)) {
+        assertEquals("accepted", nextEvent());
+        socket.shutdownOutput();
+        assertEquals("lost CLOSED", nextEvent());
+      }
+    }
+    assertEquals(1, sockets.startedSelectorThreads());
+    Sockets both = new Sockets(2);
+    assertEquals(4, both.startedSelectorThreads());
+    both.close();
+  }
+
   @Test
   void aSelectorThreadThatHasEndedIsReported() throws Exception {
     Sockets other = Sockets.streamsOnly(1);
