Calls of a draining switch that has stopped are released within 8 s

Cause: SwitchLink.DRAINING_REFUSING_LIMIT_MILLIS was 10 s.

Change: 7.5 s, and the time to find out; those of a switch in service stay at 6 s.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -50,9 +50,9 @@
 
   /**
    * The same limit for a draining switch, which refuses connections while its established calls
-   * continue until it stops.
+   * continue until it stops. Callers must be told within 8 s of the end of such a call as well.
    */
-  private static final double DRAINING_REFUSING_LIMIT_MILLIS = 10_000;
+  private static final double DRAINING_REFUSING_LIMIT_MILLIS = 7_500;
 
   /** Maximum number of cancelled set-ups remembered, to release a late answer to one. */
   private static final int MAX_CANCELLED_IDS = 2_048;
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -304,17 +304,21 @@
   }
 
   @Test
-  void keepsTheCallsOfADrainingSwitchLongerWhileItRefusesConnections() {
+  void releasesTheCallsOfADrainingSwitchThatRefusesConnectionsWithinEightSeconds() {
     establish(7);
     harness
         .connectionTo(8500)
         .deliver(
             "{\"pos\":2,\"hosts\":{\"generation\":2,\"reset\":false,\"instances\":[{\"instanceId\":"
                 + "\"s1\",\"hostPort\":\"127.0.0.2:2\",\"cell\":1,\"lifecycle\":\"terminating\"}]}}");
-    refuseConnectionsFor(7_500);
-    assertEquals(List.of(), caller.takeSent());
-    refuseConnectionsFor(3_500);
+    double endedAt = harness.clock.now();
+    refuseConnectionsFor(7_000);
+    assertEquals(List.of(), caller.takeSent(), "kept longer than those of a switch in service");
+    while (caller.sent.isEmpty() && harness.clock.now() - endedAt < 9_000) {
+      refuseConnectionsFor(10);
+    }
     assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+    assertTrue(harness.clock.now() - endedAt <= 8_050, "after " + (harness.clock.now() - endedAt));
   }
 
   @Test
