The silence of peers does not count while this process was stopped

What callers saw: nothing yet; after a stop of the process for 8 s (SIGSTOP, a machine that stands still) healthy switches were declared gone and their calls released, before what they had sent meanwhile was read.

Change: if a periodic check comes over 1 s late, silence is judged again 0.3 s later; the stall is logged and counted. A switch that stays silent is declared gone then.

The test failed before: the call was released. VirtualClock set the clock back to the due time of a task after a stall, so that no test saw one; it no longer does.

--- a/core/src/test/java/coveladder/core/VirtualClock.java
+++ b/core/src/test/java/coveladder/core/VirtualClock.java
@@ -40,7 +40,7 @@
     double end = now + durationMillis;
     while (!tasks.isEmpty() && tasks.peek().dueAt() <= end) {
       ScheduledTask next = tasks.poll();
-      now = next.dueAt();
+      now = Math.max(now, next.dueAt());
       if (next.task()[0] != null) {
         next.task()[0].run();
       }
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -22,6 +22,12 @@
 public final class IsupFrontEnd implements Signalling {
   private static final double CHECK_INTERVAL_MILLIS = 100;
 
+  /** Time between two checks that shows that this process was stopped in between. */
+  private static final double STALL_MILLIS = 1_000;
+
+  /** Time after a stall in which what has arrived meanwhile is read before silence counts. */
+  private static final double READ_GRACE_MILLIS = 300;
+
   /**
    * Upper limit of the shutdown window. At a planned restart the platform's window is the longest
    * caller time-out, but at most this long; the platform kills the process no sooner than 0.7 s
@@ -53,6 +59,12 @@
   private final Transport transport;
   private final double shutdownWindowMillis;
 
+  /** Clock of the last periodic check, ms. */
+  private double lastCheckAt;
+
+  /** Clock from which the silence of a peer counts again, ms. */
+  private double silenceCountsFrom;
+
   /** Clock at which termination was requested, ms; NaN before. */
   private double terminationRequestedAt = Double.NaN;
 
@@ -149,18 +161,34 @@
   public void start() {
     controller.start();
     journal.start(settings.knownEvents(), settings.journalPosition());
+    lastCheckAt = scheduler.now();
     runPeriodicChecks();
   }
 
   private void runPeriodicChecks() {
-    switches.checkConnections();
-    callers.closeSilentConnections();
+    if (canJudgeSilence()) {
+      switches.checkConnections();
+      callers.closeSilentConnections();
+      journal.resubscribeIfSilent();
+    }
     callers.dropExpired();
-    journal.resubscribeIfSilent();
     advanceShutdown();
     scheduler.schedule(CHECK_INTERVAL_MILLIS, this::runPeriodicChecks);
   }
 
+  /** Whether this process ran lately: the silence of a peer counts only while it could be heard. */
+  private boolean canJudgeSilence() {
+    double now = scheduler.now();
+    double sinceLastCheckMillis = now - lastCheckAt;
+    lastCheckAt = now;
+    if (sinceLastCheckMillis > STALL_MILLIS) {
+      log.state("", "", "stopped for " + Math.round(sinceLastCheckMillis) + " ms");
+      counters.increment("stalls of this process");
+      silenceCountsFrom = now + READ_GRACE_MILLIS;
+    }
+    return now >= silenceCountsFrom;
+  }
+
   /** Accepts a caller's connection; returns the listener for its events. */
   public ConnectionListener acceptCaller(Connection connection) {
     return callers.acceptCaller(connection);
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -155,6 +155,39 @@
     assertEquals(5, openJournalConnections().size());
   }
 
+  /** After a stop of this process, peers whose octets were not read yet were taken as silent. */
+  @Test
+  void silenceDoesNotCountWhileThisProcessWasStopped() {
+    harness.openSwitchConnections();
+    FrontEndHarness.FakeConnection caller = harness.connectCaller();
+    caller.deliver(FrontEndHarness.setUp(7));
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "answer"));
+    FrontEndHarness.FakeConnection switchConnection = harness.connectionTo(2);
+    FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
+    caller.takeSent();
+    harness.clock.stall(8_000);
+    harness.clock.advance(250);
+    switchConnection.deliver(FrontEndHarness.status(30));
+    journal.deliver("1");
+    harness.clock.advance(1_000);
+    assertEquals(List.of(), caller.takeSent());
+    assertFalse(caller.closed);
+    assertFalse(switchConnection.closed);
+    assertEquals(1, journalConnections().size());
+  }
+
+  @Test
+  void aSwitchThatIsSilentSinceAStopOfThisProcessIsStillDeclaredGone() {
+    harness.openSwitchConnections();
+    FrontEndHarness.FakeConnection caller = harness.connectCaller();
+    caller.deliver(FrontEndHarness.setUp(7));
+    harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "answer"));
+    caller.takeSent();
+    harness.clock.stall(8_000);
+    harness.clock.advance(500);
+    assertEquals(List.of("12 7 cause 41"), caller.takeSent());
+  }
+
   /** A service that lists switches without end filled the heap. */
   @Test
   void theNumberOfListedSwitchesIsBounded() {
