Event loop: timers and bounded queues in classes of their own; due timers have turns as well

TimerQueue holds the timers and drops cancelled ones, TurnQueue a bounded queue with its turn. Behaviour as before, but that a run of due timers ends after 5 ms, so that it cannot keep out ordinary tasks.

--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -1,10 +1,6 @@
 package coveladder.net;
 
-import java.util.PriorityQueue;
-import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -22,135 +18,29 @@
   /** Maximum number of queued tasks per iteration. */
   private static final int MAX_BATCH_TASKS = 64;
 
-  /**
-   * Time for which urgent tasks, prioritized ones and all others each run in turn while none of
-   * them run out; short compared with every time limit of a peer.
-   */
-  private static final long TURN_NANOS = 5_000_000;
-
-  /** Number of cancelled timers that may stay in the heap, whatever its size. */
-  private static final int MAX_IDLE_CANCELLED_TIMERS = 64;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** Longest wait for a task, ms. */
+  private static final double MAX_WAIT_MILLIS = 50;
+
   private final long originNanos;
   private final ArrayBlockingQueue<Runnable> taskQueue;
-  private final PreferredQueue urgentTasks;
-  private final PreferredQueue prioritizedTasks;
+  private final TurnQueue urgentTasks;
+  private final TurnQueue prioritizedTasks;
   private final AtomicBoolean wakeUpQueued = new AtomicBoolean();
-  private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
+  private final TimerQueue timers = new TimerQueue();
   private final AtomicLong droppedTasks = new AtomicLong();
   private final Thread thread;
   private volatile long pausedUntilNanos = Long.MIN_VALUE;
   private volatile boolean running = true;
-  private long nextSequenceNumber;
   private long failedTasks;
 
-  /** Number of entries of {@code timers} that are cancelled. */
-  private int cancelledTimers;
-
-  /** Tasks that run before timers and ordinary tasks, for one turn at a time. */
-  private final class PreferredQueue {
-    private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-    private final Semaphore room;
-
-    /** Clock until which it is the turn of the other tasks, ns. */
-    private long othersUntilNanos = System.nanoTime();
-
-    PreferredQueue(int capacity) {
-      room = new Semaphore(capacity);
-    }
-
-    /** Adds a task. Other threads than that of the loop wait while the queue is full. */
-    void add(Runnable task) throws InterruptedException {
-      if (Thread.currentThread() == thread) {
-        tasks.add(task);
-      } else {
-        room.acquire();
-        tasks.add(
-            () -> {
-              room.release();
-              task.run();
-            });
-      }
-    }
-
-    boolean isEmpty() {
-      return tasks.isEmpty();
-    }
-
-    /** Runs tasks until there are none left or the turn is over, unless it is that of others. */
-    void runTurn() {
-      long now = System.nanoTime();
-      if (tasks.isEmpty() || now - othersUntilNanos < 0) {
-        return;
-      }
-      long endNanos = now + TURN_NANOS;
-      while (now - endNanos < 0 && runNext(tasks)) {
-        now = System.nanoTime();
-      }
-      if (!tasks.isEmpty()) {
-        othersUntilNanos = now + TURN_NANOS;
-      }
-    }
-
-    /** Ends the turn of the others, as they have nothing to run. */
-    void endTurnOfOthers() {
-      othersUntilNanos = System.nanoTime();
-    }
-  }
-
-  private boolean runNext(Queue<Runnable> tasks) {
-    Runnable task = tasks.poll();
-    if (task != null) {
-      runGuarded(task);
-    }
-    return task != null;
-  }
-
   /** Handle of a scheduled timer. */
   public interface Timer {
     /** Cancels the timer, on the loop thread; has no effect once it has run. */
     void cancel();
   }
 
-  /** A scheduled task; tasks due at the same time run in the order in which they were set. */
-  private final class ScheduledTask implements Comparable<ScheduledTask>, Timer {
-    private final double timeMillis;
-    private final long sequenceNumber;
-
-    /** The task; null once it was cancelled or begun. */
-    private Runnable task;
-
-    ScheduledTask(double timeMillis, long sequenceNumber, Runnable task) {
-      this.timeMillis = timeMillis;
-      this.sequenceNumber = sequenceNumber;
-      this.task = task;
-    }
-
-    @Override
-    public void cancel() {
-      if (task != null) {
-        task = null;
-        cancelledTimers++;
-        removeCancelledTimers();
-      }
-    }
-
-    /** Returns the task, which cannot be cancelled any more; null if it was cancelled before. */
-    private Runnable takeTask() {
-      Runnable taken = task;
-      task = null;
-      return taken;
-    }
-
-    @Override
-    public int compareTo(ScheduledTask other) {
-      int byTime = Double.compare(timeMillis, other.timeMillis);
-      return byTime != 0 ? byTime : Long.compare(sequenceNumber, other.sequenceNumber);
-    }
-  }
-
   /**
    * Creates a loop that is not running yet.
    *
@@ -161,8 +51,8 @@
   public EventLoop(String name, long originNanos, int queueCapacity) {
     this.originNanos = originNanos;
     this.taskQueue = new ArrayBlockingQueue<>(queueCapacity);
-    this.urgentTasks = new PreferredQueue(queueCapacity);
-    this.prioritizedTasks = new PreferredQueue(queueCapacity);
+    this.urgentTasks = new TurnQueue(queueCapacity);
+    this.prioritizedTasks = new TurnQueue(queueCapacity);
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -233,9 +123,13 @@
     executePreferred(prioritizedTasks, task);
   }
 
-  private void executePreferred(PreferredQueue queue, Runnable task) {
+  private void executePreferred(TurnQueue queue, Runnable task) {
     try {
-      queue.add(task);
+      if (Thread.currentThread() == thread) {
+        queue.addOnLoop(task);
+      } else {
+        queue.addFromOutside(task);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return;
@@ -255,8 +149,8 @@
    * tasks have their turn in between, so that no kind of input keeps out another.
    */
   private void runPriorityTasks() {
-    urgentTasks.runTurn();
-    prioritizedTasks.runTurn();
+    urgentTasks.runTurn(this::runGuarded);
+    prioritizedTasks.runTurn(this::runGuarded);
   }
 
   /**
@@ -265,9 +159,7 @@
    * @param delayMillis time until the task runs, ms
    */
   public Timer after(double delayMillis, Runnable task) {
-    ScheduledTask timer = new ScheduledTask(now() + delayMillis, nextSequenceNumber++, task);
-    timers.add(timer);
-    return timer;
+    return timers.add(now() + delayMillis, task);
   }
 
   /**
@@ -329,11 +221,8 @@
 
   /** Returns the time until the next timer is due, at most 50 ms, in ns. */
   private long nanosUntilNextTimer() {
-    ScheduledTask next = timers.peek();
-    if (next == null) {
-      return 50_000_000L;
-    }
-    return Math.max(0, Math.min(50_000_000L, (long) ((next.timeMillis - now()) * NANOS_PER_MILLI)));
+    double waitMillis = Math.min(MAX_WAIT_MILLIS, timers.nextDueMillis() - now());
+    return Math.max(0, (long) (waitMillis * NANOS_PER_MILLI));
   }
 
   private void waitWhilePaused() {
@@ -344,38 +233,19 @@
     }
   }
 
+  /** Runs the due timers, for one turn at most; those left are due in the next iteration. */
   private void runTimers() {
-    ScheduledTask due = timers.peek();
-    while (due != null && due.timeMillis <= now()) {
-      if (due.task != null) {
+    long endNanos = System.nanoTime() + TurnQueue.TURN_NANOS;
+    TimerQueue.ScheduledTask due = timers.peekDue(now());
+    while (due != null) {
+      if (!due.isCancelled()) {
         runPriorityTasks();
       }
-      runDue(due);
-      due = timers.peek();
-    }
-  }
-
-  /** Removes a due timer and runs its task, unless the input just processed has cancelled it. */
-  private void runDue(ScheduledTask due) {
-    if (!timers.remove(due)) {
-      return;
-    }
-    Runnable task = due.takeTask();
-    if (task == null) {
-      cancelledTimers--;
-    } else {
-      runGuarded(task);
-    }
-  }
-
-  /**
-   * Removes the cancelled timers once they are the greater part of the heap, so that its size
-   * follows the number of pending timers at a constant cost for each.
-   */
-  private void removeCancelledTimers() {
-    if (cancelledTimers > MAX_IDLE_CANCELLED_TIMERS && 2 * cancelledTimers > timers.size()) {
-      timers.removeIf(timer -> timer.task == null);
-      cancelledTimers = 0;
+      Runnable task = timers.take(due);
+      if (task != null) {
+        runGuarded(task);
+      }
+      due = System.nanoTime() - endNanos < 0 ? timers.peekDue(now()) : null;
     }
   }
 
