--- /dev/null
+++ b/isupfront/src/main/java/coveladder/isupfront/OutstandingAttempt.java
@@ -0,0 +1,31 @@
+package coveladder.isupfront;
+
+import coveladder.core.AttemptRequest;
+import coveladder.isup.SwitchMessage;
+
+/** A set-up that is sent to a switch, or waits to be sent, and has not ended. */
+final class OutstandingAttempt {
+  final AttemptRequest request;
+  final SetUp setUp;
+
+  /** Clock at which the controller started the attempt, ms. */
+  final double startedAt;
+
+  /** Whether an earlier attempt of the call at this switch was cancelled. */
+  final boolean repeated;
+
+  boolean sent;
+
+  /**
+   * The release that a switch sent on another connection before the answer was read here; null if
+   * there is none.
+   */
+  SwitchMessage earlyRelease;
+
+  OutstandingAttempt(AttemptRequest request, SetUp setUp, double startedAt, boolean repeated) {
+    this.request = request;
+    this.setUp = setUp;
+    this.startedAt = startedAt;
+    this.repeated = repeated;
+  }
+}
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -24,7 +24,7 @@
   private final String name;
   private final SwitchLink link;
   private final LineFramer framer;
-  private final Map<String, SwitchLink.OutstandingAttempt> outstanding = new LinkedHashMap<>();
+  private final Map<String, OutstandingAttempt> outstanding = new LinkedHashMap<>();
   private final ExpiringMap<String> recentReleases;
   private Connection connection;
   private boolean open;
@@ -54,7 +54,7 @@
   }
 
   /** Outstanding set-ups by call id. */
-  Map<String, SwitchLink.OutstandingAttempt> outstanding() {
+  Map<String, OutstandingAttempt> outstanding() {
     return outstanding;
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -34,26 +34,6 @@
   /** Upper limit of the mean retry delay. */
   private static final double MAX_RETRY_DELAY_MILLIS = 1_000;
 
-  /**
-   * Minimum silence of a switch in use before a new connection is opened to check that it is
-   * reachable; the seed adds up to a third. With little traffic a healthy switch is silent for
-   * seconds, and all controllers check it: with a shorter time, checks made up half of its
-   * connections.
-   */
-  private static final double SILENCE_CHECK_MILLIS = 3_500;
-
-  /**
-   * Time over which a switch in service must refuse connections to be considered down. Usually the
-   * exchange directory reports the end earlier; callers must be told within 8 s of it.
-   */
-  private static final double REFUSING_LIMIT_MILLIS = 6_000;
-
-  /**
-   * The same limit for a draining switch, which refuses connections while its established calls
-   * continue until it stops. Callers must be told within 8 s of the end of such a call as well.
-   */
-  private static final double DRAINING_REFUSING_LIMIT_MILLIS = 7_500;
-
   /** Maximum number of cancelled set-ups remembered, to release a late answer to one. */
   private static final int MAX_CANCELLED_IDS = 2_048;
 
@@ -79,48 +59,10 @@
   private boolean stateKnown;
   private boolean inDirectory = true;
 
-  /**
-   * Clock at which the switch last sent octets or accepted a connection, ms; at first, that at
-   * which the link was created.
-   */
-  private double lastHeardAt;
-
-  /**
-   * Clock of the first refused connection since one was last established, ms; NaN if there is none.
-   */
-  private double refusingSince = Double.NaN;
-
+  private final SwitchReachability reachability;
   private boolean reconnectScheduled;
   private long openedConnections;
   private double retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-  private final double silenceCheckMillis;
-
-  /** A set-up that is sent, or waits to be sent, and has not ended. */
-  static final class OutstandingAttempt {
-    final AttemptRequest request;
-    final SetUp setUp;
-
-    /** Clock at which the controller started the attempt, ms. */
-    final double startedAt;
-
-    /** Whether an earlier attempt of the call at this switch was cancelled. */
-    final boolean repeated;
-
-    boolean sent;
-
-    /**
-     * The release that a switch sent on another connection before the answer was read here; null if
-     * there is none.
-     */
-    SwitchMessage earlyRelease;
-
-    OutstandingAttempt(AttemptRequest request, SetUp setUp, double startedAt, boolean repeated) {
-      this.request = request;
-      this.setUp = setUp;
-      this.startedAt = startedAt;
-      this.repeated = repeated;
-    }
-  }
 
   /**
    * A call established at this switch.
@@ -140,8 +82,9 @@
         new ExpiringMap<>(
             links.scheduler(), links.limits().maxTrackedCalls(), UNSENT_LIFETIME_MILLIS);
     this.address = PlatformSettings.Address.parse("address", entry.address());
-    this.lastHeardAt = links.now();
-    this.silenceCheckMillis = SILENCE_CHECK_MILLIS * (1 + links.nextRandom() / 3);
+    this.reachability =
+        new SwitchReachability(
+            links.now(), links.limits().switchSilenceMillis(), links.nextRandom());
     connect();
   }
 
@@ -220,13 +163,12 @@
 
   /** Records that the switch sent octets or accepted a connection: it is reachable. */
   void recordReceived(double receivedAt) {
-    lastHeardAt = Math.max(lastHeardAt, receivedAt);
+    reachability.heard(receivedAt);
   }
 
   void connectionOpened(SwitchConnection connection) {
-    refusingSince = Double.NaN;
+    reachability.connected(links.now());
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-    recordReceived(links.now());
     unsentReleases.takeAll().keySet().stream()
         .filter(this::isFree)
         .forEach(connection::sendRelease);
@@ -238,8 +180,8 @@
   void connectionLost(SwitchConnection connection, Loss loss) {
     connections.remove(connection);
     log().closed(connection.name(), "lost: " + loss);
-    if (loss == Loss.TURNED_AWAY && Double.isNaN(refusingSince)) {
-      refusingSince = links.now();
+    if (loss == Loss.TURNED_AWAY) {
+      reachability.refused(links.now());
     }
     if (loss == Loss.CLOSED) {
       links.counters().increment("switch connections lost");
@@ -335,15 +277,11 @@
         resetConnection(connection, "does not answer");
       }
     }
-    if (isInUse()
-        && now - lastHeardAt > silenceCheckMillis
-        && !isConnecting()
-        && !reconnectScheduled) {
+    if (isInUse() && reachability.needsCheck(now) && !isConnecting() && !reconnectScheduled) {
       openCheckConnection();
     }
     boolean draining = entry.state() != CallPolicy.ExchangeState.IN_SERVICE;
-    double refusingLimitMillis = draining ? DRAINING_REFUSING_LIMIT_MILLIS : REFUSING_LIMIT_MILLIS;
-    if (now - refusingSince > refusingLimitMillis || isSilent(now)) {
+    if (reachability.isLost(now, draining)) {
       declareGone("cannot be reached");
     }
   }
@@ -359,11 +297,6 @@
     return cancelledIds.size() + unsentReleases.size();
   }
 
-  /** Whether the switch sent nothing for too long and did not refuse a connection either. */
-  private boolean isSilent(double now) {
-    return Double.isNaN(refusingSince) && now - lastHeardAt > links.limits().switchSilenceMillis();
-  }
-
   /**
    * Opens a connection to check that the switch is reachable; at the limit it replaces the oldest,
    * unless set-ups are outstanding on that one.
