A release that waits is offered to connections that have brought no call yet

Cause: releases went to connections that had brought an established call alone, so that tests and silent clients do not swallow them.

Change: a release that has waited for 0.5 s is sent once on up to 8 connections without calls, those that brought a test first, then the newest, and waits on for one that brings a call: a connection that swallows it does no harm. A caller may read the release twice, as after the end of a connection.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -330,6 +330,7 @@
     deferredResumptions.takeExpired().forEach(this::resumeDeferred);
     endedCalls.dropExpired();
     releases.dropExpired();
+    releases.offerWaiting(new ArrayList<>(connections));
   }
 
   /** Number of entries kept for messages that may still come. */
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
@@ -2,16 +2,23 @@
 
 import coveladder.core.Scheduler;
 import coveladder.isup.CallerMessage;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
  * Sends releases to callers: on the connection of the call if it is open, otherwise on the open
  * connection with the most established calls, otherwise later, on the next connection that brings a
- * call. A release sent just before its connection ended is sent again.
+ * call. A release that has waited for long is also sent on connections that have not brought a call
+ * yet, as one of them may be its caller's. A release sent just before its connection ended is sent
+ * again.
  */
 final class ReleaseSender {
   /** Maximum number of releases that wait for a connection; the oldest is dropped first. */
@@ -23,6 +30,15 @@
   /** Age from which a release that waits for a connection is dropped. */
   private static final double UNSENT_LIFETIME_MILLIS = 30_000;
 
+  /**
+   * Time after which a release that waits is sent on connections without calls; callers must be
+   * told within 1 s.
+   */
+  private static final double OFFER_AFTER_MILLIS = 500;
+
+  /** Maximum number of connections without calls on which one release is sent. */
+  private static final int MAX_OFFERS = 8;
+
   /** Maximum number of sent releases remembered per connection. */
   private static final int MAX_RECENT_PER_CONNECTION = 256;
 
@@ -35,6 +51,9 @@
   /** Releases that wait for a connection, by call id, oldest first. */
   private final Map<String, Release> unsent = new LinkedHashMap<>();
 
+  /** Those of the waiting releases that were not yet sent on connections without calls. */
+  private final Map<String, Release> unoffered = new LinkedHashMap<>();
+
   /**
    * A release.
    *
@@ -67,6 +86,7 @@
       Iterator<Map.Entry<String, Release>> first = unsent.entrySet().iterator();
       Map.Entry<String, Release> next = first.next();
       first.remove();
+      unoffered.remove(next.getKey());
       if (scheduler.now() - next.getValue().timeMillis() < UNSENT_LIFETIME_MILLIS) {
         send(connection, next.getKey(), next.getValue().cause());
       }
@@ -93,13 +113,63 @@
         callConnection != null && !callConnection.closed() ? callConnection : mostUsedConnection();
     if (connection == null || !send(connection, id, cause)) {
       log.state(id, "", "release " + cause + " waits for a connection");
-      unsent.put(id, new Release(cause, scheduler.now()));
-      if (unsent.size() > MAX_UNSENT) {
-        unsent.remove(unsent.keySet().iterator().next());
+      keepUnsent(id, new Release(cause, scheduler.now()));
+    }
+  }
+
+  private void keepUnsent(String id, Release release) {
+    unsent.put(id, release);
+    unoffered.put(id, release);
+    if (unsent.size() > MAX_UNSENT) {
+      String oldest = unsent.keySet().iterator().next();
+      unsent.remove(oldest);
+      unoffered.remove(oldest);
+    }
+  }
+
+  /**
+   * Sends releases that have waited for long on connections that have not brought a call: those
+   * that brought a test first, then the newest. Each release is sent so once, and waits on: none of
+   * them may be that of its caller.
+   *
+   * @param connections all open connections, oldest first
+   */
+  void offerWaiting(Collection<CallerConnection> connections) {
+    double now = scheduler.now();
+    List<CallerConnection> candidates = null;
+    Iterator<Map.Entry<String, Release>> oldest = unoffered.entrySet().iterator();
+    while (oldest.hasNext()) {
+      Map.Entry<String, Release> next = oldest.next();
+      if (now - next.getValue().timeMillis() < OFFER_AFTER_MILLIS) {
+        return;
       }
+      candidates = candidates == null ? offerCandidates(connections) : candidates;
+      if (candidates.isEmpty()) {
+        return;
+      }
+      oldest.remove();
+      for (CallerConnection candidate : candidates) {
+        offer(candidate, next.getKey(), next.getValue().cause());
+      }
+    }
+  }
+
+  /** Sends a release that waits on; it is not sent again if this connection ends. */
+  private void offer(CallerConnection connection, String id, int cause) {
+    if (connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause))) {
+      log.state(id, connection.name(), "release " + cause + " offered, it has waited for long");
     }
   }
 
+  private static List<CallerConnection> offerCandidates(Collection<CallerConnection> connections) {
+    List<CallerConnection> newestFirst = new ArrayList<>(connections);
+    Collections.reverse(newestFirst);
+    return newestFirst.stream()
+        .sorted(Comparator.comparing(connection -> !connection.used()))
+        .limit(MAX_OFFERS)
+        .toList();
+  }
+
   /**
    * Returns the connection that has brought the most established calls; null if none has. This
    * keeps releases away from clients that only check whether the controller is alive, or that
@@ -127,6 +197,7 @@
       }
       log.ignored(next.getKey(), "", "release " + next.getValue().cause() + " waited too long");
       oldest.remove();
+      unoffered.remove(next.getKey());
     }
     connectionsWithCalls.forEach(this::forgetOldReleases);
   }
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -696,4 +696,22 @@
     harness.clock.advance(1_050);
     assertEquals(List.of("12 7 cause 16"), idle.takeSent());
   }
+
+  /** A connection without calls may be that of a client that only tests. */
+  @Test
+  void aReleaseSentOnAConnectionWithoutCallsAlsoWaitsForOneThatBringsACall() {
+    establish(7);
+    FrontEndHarness.FakeConnection idle = harness.connectCaller();
+    caller.lose(Loss.CLOSED);
+    harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
+    harness.clock.advance(1_050);
+    assertEquals(List.of("12 7 cause 16"), idle.takeSent());
+    idle.lose(Loss.CLOSED);
+    harness.clock.advance(1_000);
+    FrontEndHarness.FakeConnection second = harness.connectCaller();
+    harness.clock.advance(1_000);
+    assertEquals(List.of(), second.takeSent(), "offered once");
+    second.deliver(FrontEndHarness.setUp(8));
+    assertEquals(List.of("12 7 cause 16"), second.takeSent());
+  }
 }
