A set-up sent again under its id is held until the guard time after the first copy is over

Cause: the guard was kept for the attempts of one call; with its connection the call was forgotten, and the copy was a new call.

The tests failed before: sent again at once; refused with 111 in the turn of the cut.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -3,6 +3,7 @@
 import coveladder.core.CallController;
 import coveladder.core.FinalAnswer;
 import coveladder.core.Scheduler;
+import coveladder.core.TrackedCall;
 import coveladder.isup.CallerMessage;
 import coveladder.isup.Cause;
 import coveladder.isup.MalformedException;
@@ -33,6 +34,11 @@
   private final Counters counters;
   private final EndedCalls endedCalls;
   private final DeferredResumptions deferredResumptions;
+
+  /** Clock at which calls with an attempt were given up, ms, by id, for the guard time. */
+  private final ExpiringMap<Double> givenUpAt;
+
+  private final double guardMillis;
   private final EventRecorder log;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Map<String, CallerCall> calls = new HashMap<>();
@@ -85,6 +91,8 @@
     this.counters = counters;
     this.endedCalls = endedCalls;
     this.deferredResumptions = new DeferredResumptions(scheduler, limits.maxTrackedCalls());
+    this.guardMillis = controller.settings().guardTime();
+    this.givenUpAt = new ExpiringMap<>(scheduler, limits.maxPendingCalls(), guardMillis);
     this.log = log;
   }
 
@@ -212,7 +220,7 @@
     }
     if (!setUp.establishedAt().isEmpty()) {
       resumeEstablished(connection, setUp, true);
-    } else if (controller.call(id) != null || calls.containsKey(id)) {
+    } else if (isInUse(id)) {
       refuseDuplicate(connection, id);
     } else if (refusingSetUps) {
       refuseForCongestion(connection, id, "terminating");
@@ -226,6 +234,11 @@
     }
   }
 
+  /** Whether an id is that of a call that has not ended; one given up in this turn has. */
+  private boolean isInUse(String id) {
+    return calls.containsKey(id) || controller.call(id) != null && guardTimeLeft(id) == 0;
+  }
+
   private void refuseForCongestion(CallerConnection connection, String id, String reason) {
     log.refused(id, connection.name(), reason);
     connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.CONGESTION));
@@ -250,8 +263,31 @@
     pendingOctets += setUp.memoryOctets();
     endedCalls.forget(setUp.id());
     releases.setUpAccepted(connection);
-    double unreadMillis = Math.max(0, scheduler.now() - arrived);
-    controller.callArrived(setUp.toCall(Math.max(0, setUp.timeLeftMillis() - unreadMillis)));
+    double holdMillis = guardTimeLeft(setUp.id());
+    if (holdMillis > 0) {
+      log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
+      scheduler.schedule(holdMillis, () -> reportArrival(setUp, arrived));
+    } else {
+      reportArrival(setUp, arrived);
+    }
+  }
+
+  /**
+   * Returns the time for which a set-up must wait as its id was given up just before, ms. A caller
+   * sends it again under its id if the network has cut its connection.
+   */
+  private double guardTimeLeft(String id) {
+    Double since = givenUpAt.get(id);
+    return since == null ? 0 : Math.max(0, since + guardMillis - scheduler.now());
+  }
+
+  /** Reports a call to the controller, unless it was given up while it was held. */
+  private void reportArrival(SetUp setUp, double arrived) {
+    CallerCall call = calls.get(setUp.id());
+    if (call != null && call.setUp == setUp) {
+      double unreadMillis = Math.max(0, scheduler.now() - arrived);
+      controller.callArrived(setUp.toCall(Math.max(0, setUp.timeLeftMillis() - unreadMillis)));
+    }
   }
 
   /**
@@ -329,6 +365,7 @@
   void dropExpired() {
     deferredResumptions.takeExpired().forEach(this::resumeDeferred);
     endedCalls.dropExpired();
+    givenUpAt.dropExpired();
     releases.dropExpired();
     releases.offerWaiting(new ArrayList<>(connections));
   }
@@ -417,6 +454,10 @@
   private void abandon(String id) {
     markAnswered(id);
     calls.remove(id);
+    TrackedCall tracked = controller.call(id);
+    if (tracked != null && tracked.attemptCount() > 0) {
+      givenUpAt.put(id, scheduler.now());
+    }
     controller.callerAbandoned(id);
   }
 
@@ -484,9 +525,12 @@
     releases.release(call == null ? null : call.connection, id, cause);
   }
 
-  /** Forgets a call that the controller has removed. */
+  /** Forgets a call that the controller has removed; a set-up held under its id stays. */
   void callRemoved(String id) {
-    calls.remove(id);
+    CallerCall call = calls.get(id);
+    if (call != null && !call.connection.pendingCalls().contains(id)) {
+      calls.remove(id);
+    }
   }
 
   /**
--- a/isupfront/src/test/java/coveladder/isupfront/MessageOrderTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/MessageOrderTest.java
@@ -120,4 +120,51 @@
     harness.clock.advance(1);
     assertEquals(List.of("CLOSE 7 16"), toSwitch.takeSent());
   }
+
+  /** A set-up sent again under its id left 2 ms after the first copy was given up. */
+  @Test
+  void aSetUpSentAgainAfterItsConnectionWasCutWaitsForTheGuardTime() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    assertEquals(List.of("OPEN 7 voice offer7"), toSwitch.takeSent());
+    caller.lose(Loss.CLOSED);
+    harness.clock.advance(2);
+    assertEquals(List.of("CLOSE 7 16"), toSwitch.takeSent());
+    FrontEndHarness.FakeConnection again = harness.connectCaller();
+    again.deliver(FrontEndHarness.setUp(7));
+    harness.clock.advance(297);
+    assertEquals(List.of(), toSwitch.takeSent());
+    assertEquals(List.of(), again.takeSent());
+    harness.clock.advance(2);
+    assertEquals(List.of("OPEN 7 voice offer7"), toSwitch.takeSent());
+    toSwitch.deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer"), again.takeSent());
+  }
+
+  @Test
+  void aSetUpSentAgainInTheTurnOfTheCutIsServedToo() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    FrontEndHarness.FakeConnection again = harness.connectCaller();
+    caller.lose(Loss.CLOSED);
+    again.deliverWithoutTurn(FrontEndHarness.setUp(7));
+    harness.clock.advance(301);
+    assertEquals(
+        List.of("OPEN 7 voice offer7", "CLOSE 7 16", "OPEN 7 voice offer7"), toSwitch.takeSent());
+    toSwitch.deliver(FrontEndHarness.ready(7, "answer"));
+    assertEquals(List.of("9 7answer"), again.takeSent());
+  }
+
+  @Test
+  void aSetUpThatIsGivenUpWhileItIsHeldIsNeverSent() {
+    caller.deliver(FrontEndHarness.setUp(7));
+    caller.lose(Loss.CLOSED);
+    harness.clock.advance(2);
+    toSwitch.takeSent();
+    FrontEndHarness.FakeConnection again = harness.connectCaller();
+    again.deliver(FrontEndHarness.setUp(7));
+    again.deliver(FrontEndHarness.release(7));
+    harness.clock.advance(1_000);
+    assertEquals(List.of(), toSwitch.takeSent());
+    assertEquals(List.of("16 7"), again.takeSent());
+    assertEquals(0, harness.frontEnd.controller().callCount());
+  }
 }
