Soak: the end of an attempt whose answer was lost is not that of the call; outages span a restart

The checker dated the end of the call from that release, before the answer. It now forgets the end of an earlier attempt when a pending call is sent again. Test: failed before with RELEASE; a missing release after the second attempt is still found.

--- a/soak/src/main/java/coveladder/soak/RuleChecker.java
+++ b/soak/src/main/java/coveladder/soak/RuleChecker.java
@@ -106,6 +106,13 @@
     /** Time by which the call must be released towards its caller, if it was named. */
     double overDueAt = Double.NaN;
 
+    /** Forgets the end of an earlier attempt that a switch answered and whose answer was lost. */
+    void forgetEnd() {
+      overAt = Double.NaN;
+      overAtLeastSince = Double.NEGATIVE_INFINITY;
+      overDueAt = Double.NaN;
+    }
+
     boolean releaseSeen;
     String standsAt = "";
     final Set<String> answers = new HashSet<>();
@@ -393,6 +400,9 @@
     }
     checkDrain(call, read);
     checkCold(call, read);
+    if (call.pending) {
+      call.forgetEnd();
+    }
     call.attempt = new Attempt(read.switchId(), read.connection());
   }
 
--- a/soak/src/main/java/coveladder/soak/SoakRun.java
+++ b/soak/src/main/java/coveladder/soak/SoakRun.java
@@ -132,7 +132,7 @@
       switches.forEach(host -> entries.add(host.entry(number, stateOf(host))));
       journal.restart(String.join(",", entries));
       switches.forEach(host -> recordTold(host, stateOf(host), reactor.now()));
-      directoryDelayedUntil = 0;
+      directoryDelayedUntil = journalDown ? directoryDelayedUntil : 0;
       writeConfiguration();
       try {
         process.start();
--- a/soak/src/test/java/coveladder/soak/RuleCheckerTest.java
+++ b/soak/src/test/java/coveladder/soak/RuleCheckerTest.java
@@ -122,6 +122,34 @@
     assertEquals(Set.of(), rulesBroken());
   }
 
+  /** An answer is lost with its connection, its call is released there and set up again. */
+  private void establishedAtTheSecondAttempt() {
+    started(0);
+    callerWrote(1_000, setUp("dest:1"));
+    switchRead(1_005, open("77"));
+    switchWrote(1_010, ready());
+    add(new SwitchConnectionEnded(START + 1_020, 0, 7, "s1"));
+    switchRead(1_030, close());
+    switchRead(1_400, open("77"));
+    switchWrote(1_410, ready());
+    callerRead(1_420, answer("made"));
+  }
+
+  @Test
+  void theEndOfAnAttemptWhoseAnswerWasLostIsNotThatOfTheCall() {
+    establishedAtTheSecondAttempt();
+    switchWrote(20_000, close());
+    callerRead(20_010, release());
+    assertEquals(Set.of(), rulesBroken());
+  }
+
+  @Test
+  void aMissingReleaseAfterASecondAttemptIsFound() {
+    establishedAtTheSecondAttempt();
+    switchWrote(3_000, close());
+    assertBroken(Rule.RELEASE);
+  }
+
   @Test
   void aMissingAnswerIsFound() {
     started(0);
