A set-up that is given up at once no longer resets its healthy connection

Cause: a connection on which nothing had arrived between the start of an attempt and its cancel counted as unresponsive and was replaced by the next check, up to 0.1 s later: also if the caller gave the set-up up after 5 ms. What the switch had written meanwhile was lost with it, and is repeated on the next connection only.

Evidence: n2 resets s-3lm0tr-4#17 at 726.925 ("does not answer"), 0.25 s after a set-up that its caller gave up; the switch had written the release and the answer at 726.753; it repeated the release at 727.889.

Change: it is replaced only if nothing has arrived for 1 s since the start of such an attempt; meanwhile it gets no new set-ups, as before.

The test failed before: the connection was closed 0.7 s after the set-up.

--- a/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchConnection.java
@@ -29,7 +29,13 @@
   private Connection connection;
   private boolean open;
   private boolean ended;
-  private boolean unresponsive;
+
+  /**
+   * Clock at which the first attempt was started that ended without any octets since, ms; NaN if
+   * there is none.
+   */
+  private double unansweredSince = Double.NaN;
+
   private double lastReceivedAt;
 
   /** Clock at which the last part of an incomplete line arrived, ms; NaN if there is none. */
@@ -76,11 +82,16 @@
    * Such a connection is given no new set-ups until octets arrive.
    */
   boolean unresponsive() {
-    return unresponsive;
+    return !Double.isNaN(unansweredSince);
+  }
+
+  void markUnresponsive(double attemptStartedAt) {
+    unansweredSince = unresponsive() ? unansweredSince : attemptStartedAt;
   }
 
-  void markUnresponsive() {
-    unresponsive = true;
+  /** Whether an attempt was started longer ago than the time-out and nothing has arrived since. */
+  boolean hasBeenUnresponsive(double now, double timeoutMillis) {
+    return now - unansweredSince > timeoutMillis;
   }
 
   /** Whether a line is incomplete and nothing arrived for longer than the time-out. */
@@ -127,7 +138,7 @@
     }
     lastReceivedAt = arrived;
     link.recordReceived(arrived);
-    unresponsive = false;
+    unansweredSince = Double.NaN;
     try {
       framer.feed(octets, this::onLine);
       partialLineReceivedAt = framer.hasPartialLine() ? arrived : Double.NaN;
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -34,6 +34,12 @@
   /** Upper limit of the mean retry delay. */
   private static final double MAX_RETRY_DELAY_MILLIS = 1_000;
 
+  /**
+   * Time without octets after the start of an attempt that ended, from which a connection is
+   * replaced. An attempt may be given up at once, and what the switch has sent be on its way.
+   */
+  private static final double UNRESPONSIVE_LIMIT_MILLIS = 1_000;
+
   /** Maximum number of cancelled set-ups remembered, to release a late answer to one. */
   private static final int MAX_CANCELLED_IDS = 2_048;
 
@@ -271,7 +277,7 @@
       if (connection.hasStalledLine(now, links.limits().partialLineMillis())) {
         links.counters().increment("switch connections reset as stuck within a line");
         resetConnection(connection, "stalled within a line");
-      } else if (connection.unresponsive()
+      } else if (connection.hasBeenUnresponsive(now, UNRESPONSIVE_LIMIT_MILLIS)
           && connection.outstanding().isEmpty()
           && connections.size() > 1) {
         resetConnection(connection, "does not answer");
@@ -453,7 +459,7 @@
           connection.sendClose(id);
           cancelledIds.put(id, id);
           if (connection.lastReceivedAt() < outstanding.startedAt) {
-            connection.markUnresponsive();
+            connection.markUnresponsive(outstanding.startedAt);
           }
         }
         return true;
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -714,4 +714,25 @@
     second.deliver(FrontEndHarness.setUp(8));
     assertEquals(List.of("12 7 cause 16"), second.takeSent());
   }
+
+  /** Releases on their way were lost when a set-up given up at once reset their connection. */
+  @Test
+  void aSetUpThatIsGivenUpAtOnceDoesNotResetItsConnection() {
+    establish(7);
+    FrontEndHarness.FakeConnection first = harness.connectionTo(2);
+    harness.clock.advance(1);
+    caller.deliver(FrontEndHarness.setUp(8));
+    caller.deliver(FrontEndHarness.setUp(9));
+    FrontEndHarness.FakeConnection second = harness.connectionTo(2);
+    assertNotSame(first, second);
+    second.establish();
+    harness.clock.advance(5);
+    caller.deliver(FrontEndHarness.release(8));
+    caller.deliver(FrontEndHarness.release(9));
+    caller.takeSent();
+    harness.clock.advance(700);
+    assertFalse(first.closed);
+    first.deliver(FrontEndHarness.close(7, 16, ""));
+    assertEquals(List.of("12 7 cause 16"), caller.takeSent());
+  }
 }
