Input that is queued runs before a due timer, however long it takes

Turns of 5 ms by the clock end after one task on a busy machine, and the timer that closes the connections ran before input that had been read.

The test failed before: one of five inputs of 8 ms ran before the timer.

--- a/net/src/main/java/coveladder/net/EventLoop.java
+++ b/net/src/main/java/coveladder/net/EventLoop.java
@@ -235,7 +235,7 @@
 
   /** Runs the due timers, for one turn at most; those left are due in the next iteration. */
   private void runTimers() {
-    long endNanos = System.nanoTime() + TurnQueue.TURN_NANOS;
+    long endNanos = System.nanoTime() + TurnQueue.MIN_OTHERS_NANOS;
     TimerQueue.ScheduledTask due = timers.peekDue(now());
     while (due != null) {
       if (!due.isCancelled()) {
--- a/net/src/main/java/coveladder/net/TurnQueue.java
+++ b/net/src/main/java/coveladder/net/TurnQueue.java
@@ -5,12 +5,18 @@
 import java.util.function.Consumer;
 
 /**
- * A bounded queue of tasks that run before the other tasks of an event loop. While it does not run
- * empty, it has the loop for one turn, and the others for the next.
+ * A bounded queue of tasks that run before the other tasks of an event loop. A turn runs the tasks
+ * that are queued at its start. If more have come meanwhile, the others have the loop for as long
+ * before the next turn.
  */
 final class TurnQueue {
-  /** Length of a turn; short compared with every time limit of a peer. */
-  static final long TURN_NANOS = 5_000_000;
+  /** Shortest turn of the other tasks. */
+  static final long MIN_OTHERS_NANOS = 5_000_000;
+
+  /** Longest turn; short compared with every time limit of a peer. */
+  private static final long MAX_TURN_NANOS = 100_000_000;
+
+  private final int capacity;
 
   private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
   private final Semaphore room;
@@ -24,6 +30,7 @@
    * @param capacity maximum number of tasks of other threads than that of the loop
    */
   TurnQueue(int capacity) {
+    this.capacity = capacity;
     room = new Semaphore(capacity);
   }
 
@@ -46,19 +53,20 @@
     return tasks.isEmpty();
   }
 
-  /** Runs tasks until there are none left or the turn is over, unless it is that of the others. */
+  /** Runs the tasks that are queued now, unless it is the turn of the others. */
   void runTurn(Consumer<Runnable> runner) {
-    long now = System.nanoTime();
-    if (tasks.isEmpty() || now - othersUntilNanos < 0) {
+    long start = System.nanoTime();
+    if (tasks.isEmpty() || start - othersUntilNanos < 0) {
       return;
     }
-    long endNanos = now + TURN_NANOS;
-    while (now - endNanos < 0 && !tasks.isEmpty()) {
+    long now = start;
+    int queued = Math.max(1, capacity - room.availablePermits());
+    for (int i = 0; i < queued && !tasks.isEmpty() && now - start < MAX_TURN_NANOS; i++) {
       runner.accept(tasks.poll());
       now = System.nanoTime();
     }
     if (!tasks.isEmpty()) {
-      othersUntilNanos = now + TURN_NANOS;
+      othersUntilNanos = now + Math.max(MIN_OTHERS_NANOS, now - start);
     }
   }
 
--- a/net/src/test/java/coveladder/net/EventLoopTest.java
+++ b/net/src/test/java/coveladder/net/EventLoopTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -118,6 +119,29 @@
     }
   }
 
+  /** With turns of 5 ms, connections were closed before set-ups that had been read. */
+  @Test
+  @Timeout(30)
+  void allInputThatIsQueuedRunsBeforeADueTimerHoweverLongItTakes() throws Exception {
+    CountDownLatch unblock = new CountDownLatch(1);
+    List<String> order = new ArrayList<>();
+    CompletableFuture<List<String>> result = new CompletableFuture<>();
+    loop.put(
+        () -> {
+          loop.after(0, () -> result.complete(List.copyOf(order)));
+          awaitUnchecked(unblock);
+        });
+    for (int i = 0; i < 5; i++) {
+      loop.executePrioritized(
+          () -> {
+            busyMillis(8);
+            order.add("input");
+          });
+    }
+    unblock.countDown();
+    assertEquals(Collections.nCopies(5, "input"), result.get(10, TimeUnit.SECONDS));
+  }
+
   @Test
   @Timeout(30)
   void otherThreadsWaitWhileTheQueueOfPrioritizedTasksIsFull() throws Exception {
