Interop tests take ports that are free for both UDP and TCP

Cause: the test looked for a port free for UDP and had the controller listen there on TCP too. At the time 3,703 connections in TIME-WAIT and 2,000 open ones held about a sixth of the 28,232 ports that the system gives out, which fits two of eight.

Change: FreePorts binds both before it gives a port; JainPeer, which asked for TCP alone, uses it as well. What the tests check is as it was; the eight pass, with 4,700 ports still in use.

--- a/app/src/test/java/coveladder/interop/JainInteropTest.java
+++ b/app/src/test/java/coveladder/interop/JainInteropTest.java
@@ -16,7 +16,6 @@
 import coveladder.standin.StandinSwitch;
 import coveladder.standin.SwitchConfig;
 import coveladder.standin.TrunkNetwork;
-import java.net.DatagramSocket;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -40,7 +39,7 @@
     loop = new EventLoop("standins", System.nanoTime(), 10_000);
     SocketNode directoryNode = node();
     SocketNode switchNode = node();
-    int controllerPort = freePort();
+    int controllerPort = FreePorts.next();
     FleetConfig fleetConfig = FleetConfig.eightExchanges().withSize(2, 1);
     Transport calleeTransport = Transport.fromName(transport);
     Hop calleeAddress = new Hop(calleeTransport, HOST, callee.port());
@@ -74,12 +73,6 @@
     return new SocketNode(sockets, loop, SocketLimits.DEFAULTS, HOST, 0, 1);
   }
 
-  private static int freePort() throws Exception {
-    try (DatagramSocket socket = new DatagramSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static StandinDirectory.Entry directoryEntry(int number, int port) {
     String domain = "x" + number + ".example";
     return new StandinDirectory.Entry(
--- a/app/src/test/java/coveladder/interop/JainPeer.java
+++ b/app/src/test/java/coveladder/interop/JainPeer.java
@@ -1,6 +1,5 @@
 package coveladder.interop;
 
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Properties;
@@ -56,7 +55,7 @@
   /** Starts a user agent on any free port. */
   JainPeer(String name, String transport) throws Exception {
     this.transport = transport;
-    this.port = freePort();
+    this.port = FreePorts.next();
     SipFactory factory = SipFactory.getInstance();
     factory.setPathName("gov.nist");
     Properties properties = new Properties();
@@ -71,12 +70,6 @@
     provider.addSipListener(this);
   }
 
-  private static int freePort() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   int port() {
     return port;
   }
