Read again: test set-up that stood twice, a method without a user

FatalErrorTest builds its command with LoopbackPlatform.command. RecentIds.remove has had no user since ids of cancelled set-ups have a time.

--- a/isupfront/src/main/java/coveladder/isupfront/RecentIds.java
+++ b/isupfront/src/main/java/coveladder/isupfront/RecentIds.java
@@ -23,9 +23,4 @@
   boolean contains(String id) {
     return ids.contains(id);
   }
-
-  /** Removes an id; returns whether it was in the set. */
-  boolean remove(String id) {
-    return ids.remove(id);
-  }
 }
--- a/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/CallsTest.java
@@ -686,25 +686,27 @@
     assertEquals(List.of("CLOSE 7 16"), harness.connectionTo(2).takeSent());
   }
 
-  /** Its caller's only open connection is new and has not brought a call yet. */
-  @Test
-  void aReleaseReachesAnOpenConnectionThatHasBroughtNoCall() {
+  /** Ends a call 1.05 s ago; its caller's only open connection has not brought a call yet. */
+  private FrontEndHarness.FakeConnection endACallWhoseCallerHasAnIdleConnectionOnly() {
     establish(7);
     FrontEndHarness.FakeConnection idle = harness.connectCaller();
     caller.lose(Loss.CLOSED);
     harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
     harness.clock.advance(1_050);
+    return idle;
+  }
+
+  /** Its caller's only open connection is new and has not brought a call yet. */
+  @Test
+  void aReleaseReachesAnOpenConnectionThatHasBroughtNoCall() {
+    FrontEndHarness.FakeConnection idle = endACallWhoseCallerHasAnIdleConnectionOnly();
     assertEquals(List.of("12 7 cause 16"), idle.takeSent());
   }
 
   /** A connection without calls may be that of a client that only tests. */
   @Test
   void aReleaseSentOnAConnectionWithoutCallsAlsoWaitsForOneThatBringsACall() {
-    establish(7);
-    FrontEndHarness.FakeConnection idle = harness.connectCaller();
-    caller.lose(Loss.CLOSED);
-    harness.connectionTo(2).deliver(FrontEndHarness.close(7, 16, ""));
-    harness.clock.advance(1_050);
+    FrontEndHarness.FakeConnection idle = endACallWhoseCallerHasAnIdleConnectionOnly();
     assertEquals(List.of("12 7 cause 16"), idle.takeSent());
     idle.lose(Loss.CLOSED);
     harness.clock.advance(1_000);
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -155,16 +155,22 @@
     assertEquals(5, openJournalConnections().size());
   }
 
-  /** After a stop of this process, peers whose octets were not read yet were taken as silent. */
-  @Test
-  void silenceDoesNotCountWhileThisProcessWasStopped() {
+  /** Sets up a call on a new connection, on which nothing is left to be read. */
+  private FrontEndHarness.FakeConnection establishCall() {
     harness.openSwitchConnections();
     FrontEndHarness.FakeConnection caller = harness.connectCaller();
     caller.deliver(FrontEndHarness.setUp(7));
     harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "answer"));
+    caller.takeSent();
+    return caller;
+  }
+
+  /** After a stop of this process, peers whose octets were not read yet were taken as silent. */
+  @Test
+  void silenceDoesNotCountWhileThisProcessWasStopped() {
+    FrontEndHarness.FakeConnection caller = establishCall();
     FrontEndHarness.FakeConnection switchConnection = harness.connectionTo(2);
     FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
-    caller.takeSent();
     harness.clock.stall(8_000);
     harness.clock.advance(250);
     switchConnection.deliver(FrontEndHarness.status(30));
@@ -178,11 +184,7 @@
 
   @Test
   void aSwitchThatIsSilentSinceAStopOfThisProcessIsStillDeclaredGone() {
-    harness.openSwitchConnections();
-    FrontEndHarness.FakeConnection caller = harness.connectCaller();
-    caller.deliver(FrontEndHarness.setUp(7));
-    harness.connectionTo(2).deliver(FrontEndHarness.ready(7, "answer"));
-    caller.takeSent();
+    FrontEndHarness.FakeConnection caller = establishCall();
     harness.clock.stall(8_000);
     harness.clock.advance(500);
     assertEquals(List.of("12 7 cause 41"), caller.takeSent());
--- a/serve/src/test/java/coveladder/serve/FatalErrorTest.java
+++ b/serve/src/test/java/coveladder/serve/FatalErrorTest.java
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -18,11 +18,10 @@
 @Timeout(60)
 class FatalErrorTest {
   private static Process start(String failure) throws IOException {
-    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     String classPath = System.getProperty("java.class.path");
-    return new ProcessBuilder(
-            java, "-Xmx24m", "-cp", classPath, FailingProcess.class.getName(), failure)
-        .start();
+    List<String> options =
+        List.of("-Xmx24m", "-cp", classPath, FailingProcess.class.getName(), failure);
+    return new ProcessBuilder(LoopbackPlatform.command(options)).start();
   }
 
   /** After an OutOfMemoryError the process stayed alive, listened and never answered again. */
