--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -34,7 +34,7 @@
  * ends with status 0 (the rule held), 1 (it was broken) or 2 (the case could not run).
  */
 abstract class Rig {
-  static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+  static final InetAddress LOOPBACK = loopback();
 
   /** Longest run of a case, ms. */
   private static final long MAX_RUN_MILLIS = 110_000;
@@ -147,9 +147,12 @@
     return HexFormat.of().toHexDigits(random.nextLong() | 1);
   }
 
-  /** An address of 127.0.0.0/8 for each party, as on the bench. */
-  static InetAddress address(int last) throws IOException {
-    return InetAddress.getByAddress(new byte[] {127, 0, 0, (byte) last});
+  private static InetAddress loopback() {
+    try {
+      return InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
   }
 
   // ---- Configuration -------------------------------------------------------------------------
@@ -469,14 +472,22 @@
     volatile String state = "in_service";
     volatile long startedAtMillis;
     private ServerSocket server;
+    private volatile boolean vanished;
     private int accepted;
     int setUps;
 
     SwitchNode(String id, int number, long startedAtMillis) throws IOException {
+      this(id, number, startedAtMillis, 0);
+    }
+
+    /** Creates a switch at a port; 0: any free one. */
+    SwitchNode(String id, int number, long startedAtMillis, int atPort) throws IOException {
       this.id = id;
       this.number = number;
       this.startedAtMillis = startedAtMillis;
-      server = new ServerSocket(0, 50, LOOPBACK);
+      server = new ServerSocket();
+      server.setReuseAddress(true);
+      server.bind(new InetSocketAddress(LOOPBACK, atPort), 50);
       port = server.getLocalPort();
       listen();
     }
@@ -539,6 +550,9 @@
     }
 
     synchronized void onLine(Link link, String line) {
+      if (vanished) {
+        return;
+      }
       String kind = find(KIND, line);
       String call = find(SID, line);
       switch (kind) {
@@ -614,6 +628,18 @@
       record(id + ": accepts connections again");
     }
 
+    /**
+     * The machine vanishes with its calls: it says nothing more, and its open connections stay open
+     * and silent.
+     */
+    synchronized void vanish() throws IOException {
+      record(id + ": its machine vanishes, calls cut " + standing.keySet());
+      server.close();
+      vanished = true;
+      standing.clear();
+      pending.clear();
+    }
+
     /** The process dies: its connections are reset and its calls cut. */
     synchronized void die() throws IOException {
       record(id + ": its process dies, calls cut " + standing.keySet());
