--- a/review/standin-2/LateDrain.java
+++ b/review/standin-2/LateDrain.java
@@ -43,12 +43,12 @@
     }
     new Controller(5, 1024).start();
     SwitchNode first = switches.get(0);
-    Caller client = new Caller("client");
     sleep(1_500);
     if (trouble) {
       journal.fallSilent();
     }
     double began = now();
+    Caller client = new Caller("client");
     int sent = 0;
     boolean draining = false;
     boolean served = !trouble;
