--- a/policy/src/main/java/coveladder/NestedThresholdPolicy.java
+++ b/policy/src/main/java/coveladder/NestedThresholdPolicy.java
@@ -1047,18 +1047,19 @@
   }
 
   /**
-   * Updates the reported circuits; returns whether more are free, so that a waiting call may be
-   * sent.
+   * Updates the reported circuits, unless the report is damaged; returns whether more are free, so
+   * that a waiting call may be sent.
    */
   private boolean updateCircuits(String exchangeId, Load load) {
     Exchange entry = directory.get(exchangeId);
-    if (entry == null || Double.isNaN(load.freeCircuits()) || Double.isNaN(load.groupSize())) {
+    if (entry == null || !ReportedGroupSize.isPlausible(load.freeCircuits(), load.groupSize())) {
       return false;
     }
     RemoteExchange remote = remoteExchange(entry.number());
-    boolean moreFree = !(load.freeCircuits() <= remote.freeCircuits);
-    remote.freeCircuits = load.freeCircuits();
-    remote.groupSize = load.groupSize();
+    double freeCircuits = Math.min(load.freeCircuits(), load.groupSize());
+    boolean moreFree = !(freeCircuits <= remote.freeCircuits);
+    remote.freeCircuits = freeCircuits;
+    remote.updateGroupSize(load.groupSize());
     return moreFree;
   }
 
@@ -1093,6 +1094,8 @@
     /** Circuits of the group; 0: there is no group; NaN: not reported yet. */
     double groupSize = Double.NaN;
 
+    final ReportedGroupSize reportedSize = new ReportedGroupSize();
+
     /** Circuits seized by direct calls of this controller. */
     int localBusyCircuits;
 
@@ -1141,6 +1144,14 @@
       this.number = number;
     }
 
+    void updateGroupSize(double reported) {
+      groupSize = reported;
+      if (reportedSize.report(reported)) {
+        thresholds = null;
+        otherUsersRate = 0;
+      }
+    }
+
     /** Whether there is a direct group to this exchange; one of unknown size counts. */
     boolean hasCircuitGroup() {
       return number != settings.localExchange() && !(groupSize <= 0);
@@ -1151,7 +1162,10 @@
      * admitted.
      */
     double threshold(TrackedCall call) {
-      boolean unlimited = thresholds == null || call.callClass.worth() >= maxWorth && !call.late;
+      boolean unlimited =
+          thresholds == null
+              || !reportedSize.isConfirmed()
+              || call.callClass.worth() >= maxWorth && !call.late;
       return unlimited
           ? groupSize
           : thresholds[call.request.type() + (call.late ? classMix.length : 0)];
@@ -1191,8 +1205,11 @@
       blockedCalls *= COUNTER_RETENTION;
       overflowedCalls *= COUNTER_RETENTION;
       carriedOverflowCalls *= COUNTER_RETENTION;
-      thresholds =
-          arrivals.isEmpty() || !(groupSize >= 1) ? null : computeThresholds(countedMillis);
+      if (arrivals.isEmpty() || !(groupSize >= 1)) {
+        thresholds = null;
+      } else if (reportedSize.isConfirmed()) {
+        thresholds = computeThresholds(countedMillis);
+      }
     }
 
     /**
