--- a/isup/src/main/java/coveladder/isup/JournalLine.java
+++ b/isup/src/main/java/coveladder/isup/JournalLine.java
@@ -15,6 +15,10 @@
  * @param entries all switches, or the changed ones
  */
 public record JournalLine(long position, boolean event, boolean snapshot, List<Entry> entries) {
+  private static final int MAX_PORT = 65_535;
+
+  /** Latest start that a list can name: the year 2286. */
+  private static final double MAX_START_MILLIS = 1e13;
 
   /**
    * A switch as the journal lists it.
@@ -85,10 +89,12 @@
     return new Entry(
         requireValue(values, prefix + "instanceId"),
         address.substring(0, colon),
-        (int) parseLong(prefix + "hostPort", address.substring(colon + 1)),
-        (int) parseLong(prefix + "cell", requireValue(values, prefix + "cell")),
+        (int) parseWithin(prefix + "hostPort", address.substring(colon + 1), 1, MAX_PORT),
+        (int)
+            parseWithin(
+                prefix + "cell", requireValue(values, prefix + "cell"), 0, Integer.MAX_VALUE),
         requireValue(values, prefix + "lifecycle"),
-        parseDouble(prefix + "startedAtMs", startedAtMillis));
+        parseStart(prefix + "startedAtMs", startedAtMillis));
   }
 
   private static String requireValue(Map<String, String> values, String path)
@@ -106,9 +112,19 @@
     }
   }
 
-  private static double parseDouble(String path, String text) throws MalformedException {
+  private static long parseWithin(String path, String text, long min, long max)
+      throws MalformedException {
+    long value = parseLong(path, text);
+    MalformedException.expect(value >= min && value <= max, path + " is out of range");
+    return value;
+  }
+
+  private static double parseStart(String path, String text) throws MalformedException {
     try {
-      return Double.parseDouble(text);
+      double startedAtMillis = Double.parseDouble(text);
+      MalformedException.expect(
+          startedAtMillis >= 0 && startedAtMillis <= MAX_START_MILLIS, path + " is out of range");
+      return startedAtMillis;
     } catch (NumberFormatException e) {
       throw new MalformedException(path + " is no number");
     }
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -121,7 +121,6 @@
       keepOnly(this);
       lastProgressAt = scheduler.now();
       silentAttempts = 0;
-      retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
       try {
         apply(JournalLine.decode(line));
       } catch (MalformedException | WireException e) {
@@ -131,7 +130,9 @@
 
     private void onUnreadable(String problem) {
       counters.increment("journal lines that cannot be read: " + problem);
-      resubscribe(this, 0, "unreadable: " + problem);
+      boolean first = retryDelayMillis == MIN_RETRY_DELAY_MILLIS;
+      resubscribe(this, first ? 0 : retryDelayMillis, "unreadable: " + problem);
+      growRetryDelay();
     }
 
     @Override
@@ -141,7 +142,7 @@
       if (subscriptions.remove(this) && subscriptions.isEmpty()) {
         boolean firstBreak = receivedOctets && retryDelayMillis == MIN_RETRY_DELAY_MILLIS;
         reconnectAfter(firstBreak ? 0 : retryDelayMillis);
-        retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
+        growRetryDelay();
       }
     }
 
@@ -188,6 +189,10 @@
     subscription.connection.send(("tail " + position + "\n").getBytes(StandardCharsets.US_ASCII));
   }
 
+  private void growRetryDelay() {
+    retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
+  }
+
   /** Subscribes again after the failure of a connection, unless another one is left. */
   private void resubscribe(Subscription failed, double delayMillis, String reason) {
     if (subscriptions.remove(failed)) {
@@ -241,6 +246,7 @@
       if (line.event()) {
         log.ignored("", "journal", "event " + line.position() + " is applied already");
       } else if (line.position() == position) {
+        retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
         confirmationListener.run();
       }
       return;
@@ -250,11 +256,13 @@
       resubscribeAll("an event is missing");
       return;
     }
+    List<ExchangeDirectory.Entry> listed = listedEntries(line);
     position = line.position();
+    retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     log.state("", "journal", "event " + position + " applied");
     controller.updateDirectory(
         new ExchangeDirectory.Update(
-            line.snapshot(), controller.directory().version(), position, listedEntries(line)));
+            line.snapshot(), controller.directory().version(), position, listed));
     directoryListener.run();
   }
 
@@ -275,14 +283,23 @@
     return listed;
   }
 
-  private static ExchangeDirectory.Entry directoryEntry(JournalLine.Entry entry) {
+  /** Returns the start of a listed switch; one that is still to come is damaged, and ignored. */
+  private double startedAt(JournalLine.Entry entry) {
+    if (entry.startedAtMillis() <= scheduler.now()) {
+      return entry.startedAtMillis();
+    }
+    ExchangeDirectory.Entry known = controller.directory().byId(entry.id());
+    return known == null ? scheduler.now() : known.startedAt();
+  }
+
+  private ExchangeDirectory.Entry directoryEntry(JournalLine.Entry entry) {
     return new ExchangeDirectory.Entry(
         entry.id(),
         entry.exchangeNumber(),
         "",
         entry.host() + ":" + entry.port(),
         ReportReader.state(entry.state()),
-        entry.startedAtMillis());
+        startedAt(entry));
   }
 
   private void resubscribeAll(String reason) {
--- a/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
+++ b/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
@@ -238,6 +238,14 @@
         + "}";
   }
 
+  /** Returns the event that changes one switch, as the journal service writes it. */
+  static String journalEvent(int position, String id, int port, String state, long startedAt) {
+    return """
+        {"pos":%1$d,"hosts":{"generation":%1$d,"reset":false,"instances":[{"instanceId":"%2$s",\
+        "hostPort":"127.0.0.2:%3$d","cell":1,"lifecycle":"%4$s","startedAtMs":%5$d}]}}"""
+        .formatted(position, id, port, state, startedAt);
+  }
+
   static String callId(int id) {
     return String.format("%016x", id);
   }
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -31,17 +31,7 @@
   }
 
   private static String journalEvent(int position, String id, String state) {
-    return "{\"pos\":"
-        + position
-        + ",\"hosts\":{\"generation\":"
-        + position
-        + ",\"reset\":false,"
-        + "\"instances\":[{\"instanceId\":\""
-        + id
-        + "\",\"hostPort\":\"127.0.0.2:2\",\"cell\":1,"
-        + "\"lifecycle\":\""
-        + state
-        + "\",\"startedAtMs\":0}]}}";
+    return FrontEndHarness.journalEvent(position, id, 2, state, 0);
   }
 
   /** Returns the directory updates that the policy got since its events were last taken. */
--- a/serve/src/main/java/coveladder/serve/SocketTransport.java
+++ b/serve/src/main/java/coveladder/serve/SocketTransport.java
@@ -79,7 +79,7 @@
 
   @Override
   public Connection connect(String host, int port, ConnectionListener listener) {
-    Stream stream = streams.connect(new InetSocketAddress(host, port), listener);
+    Stream stream = streams.connect(NumericAddress.of(host, port), listener);
     return new SocketConnection(stream);
   }
 
