--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -8,6 +8,7 @@
 import coveladder.isupfront.Transport.ConnectionListener;
 import coveladder.isupfront.Transport.Loss;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -15,6 +16,11 @@
 
 /** One connection from a client that places calls. */
 final class CallerConnection implements ConnectionListener {
+  /** Order by calls that a switch answered or ended, then by calls that clients named. */
+  static final Comparator<CallerConnection> BY_CALLS =
+      Comparator.<CallerConnection>comparingInt(connection -> connection.provenCalls)
+          .thenComparingInt(connection -> connection.namedCalls);
+
   /** Maximum number of refused duplicate ids remembered. */
   private static final int MAX_REFUSED_IDS = 64;
 
@@ -41,7 +47,9 @@
   private boolean used;
   private boolean closed;
   private int unusableMessages;
-  private int establishedCalls;
+  private int provenCalls;
+  private int namedCalls;
+  private long lastReleaseOffered;
 
   CallerConnection(
       String name,
@@ -104,15 +112,30 @@
     used = true;
   }
 
-  /** Number of established calls that were set up or resumed on this connection. */
-  int establishedCalls() {
-    return establishedCalls;
+  /** Number of calls of this connection that a switch answered or ended. */
+  int provenCalls() {
+    return provenCalls;
+  }
+
+  /** Counts a call that a switch answered or ended. */
+  void countProven() {
+    used = true;
+    provenCalls++;
   }
 
-  /** Counts an established call and returns the new number. */
-  int countEstablished() {
+  /** Counts a call that the client named as established, which is its word alone. */
+  void countNamed() {
     used = true;
-    return ++establishedCalls;
+    namedCalls++;
+  }
+
+  /** Number of the last waiting release that was offered here. */
+  long lastReleaseOffered() {
+    return lastReleaseOffered;
+  }
+
+  void releaseOffered(long number) {
+    lastReleaseOffered = number;
   }
 
   /**
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -63,11 +63,15 @@
     /** The set-up; null once the call is established, as nothing of it is sent any more. */
     SetUp setUp;
 
+    /** Whether only the caller's word says that the call is established. */
+    final boolean named;
+
     CallerConnection connection;
     String description = "";
 
     CallerCall(SetUp setUp, CallerConnection connection) {
       this.setUp = setUp;
+      this.named = setUp == null;
       this.connection = connection;
     }
   }
@@ -128,9 +132,10 @@
   }
 
   /**
-   * Returns the connection without pending calls that brought the fewest established calls, and of
-   * those the longest silent one; null if all others have pending calls. This protects regular
-   * callers from many connections that stay open and send little.
+   * Returns the connection without pending calls that brought the fewest calls which a switch
+   * answered, of those the fewest named as established, and of those the longest silent one; null
+   * if all others have pending calls. This protects regular callers from many connections that stay
+   * open and send little.
    */
   private CallerConnection leastUsedConnection(CallerConnection excluded) {
     CallerConnection leastUsed = null;
@@ -146,9 +151,8 @@
 
   private boolean isLessUsed(CallerConnection one, CallerConnection other) {
     double now = scheduler.now();
-    return one.establishedCalls() < other.establishedCalls()
-        || one.establishedCalls() == other.establishedCalls()
-            && one.silenceMillis(now) > other.silenceMillis(now);
+    int byCalls = CallerConnection.BY_CALLS.compare(one, other);
+    return byCalls < 0 || byCalls == 0 && one.silenceMillis(now) > other.silenceMillis(now);
   }
 
   /**
@@ -262,7 +266,7 @@
     pendingCount++;
     pendingOctets += setUp.memoryOctets();
     endedCalls.forget(setUp.id());
-    releases.setUpAccepted(connection);
+    releases.callBrought(connection);
     double holdMillis = guardTimeLeft(setUp.id());
     if (holdMillis > 0) {
       log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
@@ -336,7 +340,7 @@
     boolean switchMayFollow = mayDefer && switches.mayBecomeKnown(setUp.establishedAt());
     if (switchMayFollow && deferredResumptions.add(connection, setUp)) {
       log.state(setUp.id(), connection.name(), "waits to be resumed: its switch is not listed");
-      releases.callEstablished(connection);
+      releases.callNamed(connection);
       return;
     }
     if (calls.size() >= limits.maxTrackedCalls()
@@ -349,7 +353,7 @@
     }
     log.state(setUp.id(), connection.name(), "resumed at " + setUp.establishedAt());
     calls.put(setUp.id(), new CallerCall(null, connection));
-    releases.callEstablished(connection);
+    releases.callNamed(connection);
     controller.resume(setUp.toCall(0), 0, setUp.establishedAt());
   }
 
@@ -372,7 +376,12 @@
 
   /** Number of entries kept for messages that may still come. */
   int keptEntries() {
-    return endedCalls.size() + deferredResumptions.size() + releases.unsentCount();
+    return endedCalls.size() + deferredResumptions.size() + releases.waitingCount();
+  }
+
+  /** Number of releases that wait for connections of their callers. */
+  int waitingReleases() {
+    return releases.waitingCount();
   }
 
   private void resumeDeferred(DeferredResumptions.Deferred deferred) {
@@ -392,14 +401,14 @@
     log.state(id, connection.name(), "named as established, tracked already");
     if (call.connection != connection) {
       call.connection = connection;
-      releases.callEstablished(connection);
+      releases.callNamed(connection);
     }
   }
 
   /** Tells the side that does not know yet of the end of a call that was named as established. */
   private void finishEndedCall(CallerConnection connection, SetUp setUp, EndedCalls.End end) {
     log.state(setUp.id(), connection.name(), "named as established, ended by " + end.releasedBy());
-    releases.callEstablished(connection);
+    releases.callNamed(connection);
     switch (end.releasedBy()) {
       case SWITCH -> releases.release(connection, setUp.id(), end.cause());
       case CALLER -> {
@@ -500,7 +509,7 @@
       call.description = "";
       call.setUp = null;
       call.connection.send(new CallerMessage(CallerMessage.ANSWER, id, parameters));
-      releases.callEstablished(call.connection);
+      releases.callProven(call.connection);
     } else {
       calls.remove(id);
       call.connection.send(refusal(id, answer));
@@ -523,6 +532,10 @@
     int cause = Outcomes.releaseCause(disconnected);
     endedCalls.remember(id, EndedCalls.ReleasedBy.SWITCH, cause);
     releases.release(call == null ? null : call.connection, id, cause);
+    if (call != null && call.named && !disconnected) {
+      // The switch has ended the call, so it was there as its caller said.
+      releases.callProven(call.connection);
+    }
   }
 
   /** Forgets a call that the controller has removed; a set-up held under its id stays. */
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -259,6 +259,11 @@
     return callers.keptEntries() + switches.keptIds();
   }
 
+  /** Number of releases that wait for connections of their callers. */
+  int waitingReleases() {
+    return callers.waitingReleases();
+  }
+
   /** Counters of unusual events. */
   public Counters counters() {
     return counters;
--- a/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
+++ b/isupfront/src/main/java/coveladder/isupfront/ReleaseSender.java
@@ -7,37 +7,31 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
- * Sends releases to callers: on the connection of the call if it is open, otherwise on the open
- * connection with the most established calls, otherwise later, on the next connection that brings a
- * call. A release that has waited for long is also sent on connections that have not brought a call
- * yet, as one of them may be its caller's. A release sent just before its connection ended is sent
- * again.
+ * Sends releases to callers: on the connection of the call if it is open. Otherwise nothing tells
+ * which connection is that of its caller, and the release waits for a time and is offered once to
+ * each connection that may be: to those with established calls, and to each that brings a call. A
+ * release sent just before its connection ended is sent again.
  */
 final class ReleaseSender {
-  /** Maximum number of releases that wait for a connection; the oldest is dropped first. */
-  private static final int MAX_UNSENT = 50_000;
-
   /** Age up to which a release is sent again if its connection ends. */
   private static final double RESEND_WINDOW_MILLIS = 500;
 
-  /** Age from which a release that waits for a connection is dropped. */
-  private static final double UNSENT_LIFETIME_MILLIS = 30_000;
-
   /**
-   * Time after which a release that waits is sent on connections without calls; callers must be
+   * Time after which a release is offered to connections that have brought no call; callers must be
    * told within 1 s.
    */
-  private static final double OFFER_AFTER_MILLIS = 500;
+  private static final double IDLE_OFFER_AFTER_MILLIS = 500;
+
+  /** Maximum number of connections that have brought no call to which a release is offered. */
+  private static final int MAX_IDLE_OFFERS = 8;
 
-  /** Maximum number of connections without calls on which one release is sent. */
-  private static final int MAX_OFFERS = 8;
+  /** Maximum number of releases offered in one turn of the event loop. */
+  private static final int MAX_OFFERS_PER_TURN = 1_000;
 
   /** Maximum number of sent releases remembered per connection. */
   private static final int MAX_RECENT_PER_CONNECTION = 256;
@@ -45,166 +39,154 @@
   private final Scheduler scheduler;
   private final EventRecorder log;
 
-  /** Open connections that have brought an established call. */
+  /** Open connections with calls that a switch answered, or that were named as established. */
   private final Set<CallerConnection> connectionsWithCalls = new LinkedHashSet<>();
 
-  /** Releases that wait for a connection, by call id, oldest first. */
-  private final Map<String, Release> unsent = new LinkedHashMap<>();
+  private final WaitingReleases waiting;
 
-  /** Those of the waiting releases that were not yet sent on connections without calls. */
-  private final Map<String, Release> unoffered = new LinkedHashMap<>();
+  /** Number of the last release that was offered to connections without calls. */
+  private long lastOfferedToIdle;
 
   /**
-   * A release.
+   * A release that was sent.
    *
    * @param cause its cause
-   * @param timeMillis clock at which it was sent or began to wait, ms
+   * @param timeMillis clock at which it was sent, ms
    */
   record Release(int cause, double timeMillis) {}
 
   ReleaseSender(Scheduler scheduler, EventRecorder log) {
     this.scheduler = scheduler;
     this.log = log;
+    this.waiting = new WaitingReleases(scheduler);
   }
 
-  /**
-   * Records that a call of a connection was established, which shows that a real caller uses it,
-   * and sends the waiting releases on it.
-   */
-  void callEstablished(CallerConnection connection) {
-    if (connection.closed()) {
-      return;
-    }
-    if (connection.countEstablished() == 1) {
-      connectionsWithCalls.add(connection);
-    }
-    sendUnsent(connection);
+  /** Records that a switch answered, or ended, a call of a connection: a real caller uses it. */
+  void callProven(CallerConnection connection) {
+    connection.countProven();
+    callEstablished(connection);
   }
 
-  private void sendUnsent(CallerConnection connection) {
-    while (!unsent.isEmpty() && !connection.closed()) {
-      Iterator<Map.Entry<String, Release>> first = unsent.entrySet().iterator();
-      Map.Entry<String, Release> next = first.next();
-      first.remove();
-      unoffered.remove(next.getKey());
-      if (scheduler.now() - next.getValue().timeMillis() < UNSENT_LIFETIME_MILLIS) {
-        send(connection, next.getKey(), next.getValue().cause());
-      }
-    }
+  /** Records that a client named a call as established, which is its word alone. */
+  void callNamed(CallerConnection connection) {
+    connection.countNamed();
+    callEstablished(connection);
   }
 
-  /**
-   * Records that a set-up of a connection was accepted. Waiting releases are sent on it if no
-   * connection has brought an established call.
-   */
-  void setUpAccepted(CallerConnection connection) {
-    if (connectionsWithCalls.isEmpty()) {
-      sendUnsent(connection);
+  private void callEstablished(CallerConnection connection) {
+    if (!connection.closed()) {
+      connectionsWithCalls.add(connection);
+      callBrought(connection);
     }
   }
 
+  /** Records that a connection brought a call, and offers it the waiting releases. */
+  void callBrought(CallerConnection connection) {
+    offerTo(connection, waiting.after(connection.lastReleaseOffered(), MAX_OFFERS_PER_TURN));
+  }
+
   /**
    * Releases a call toward its caller.
    *
    * @param callConnection connection of the call; null if it is not known
    */
   void release(CallerConnection callConnection, String id, int cause) {
-    CallerConnection connection =
-        callConnection != null && !callConnection.closed() ? callConnection : mostUsedConnection();
-    if (connection == null || !send(connection, id, cause)) {
-      log.state(id, "", "release " + cause + " waits for a connection");
-      keepUnsent(id, new Release(cause, scheduler.now()));
+    if (callConnection != null && !callConnection.closed() && send(callConnection, id, cause)) {
+      return;
     }
-  }
-
-  private void keepUnsent(String id, Release release) {
-    unsent.put(id, release);
-    unoffered.put(id, release);
-    if (unsent.size() > MAX_UNSENT) {
-      String oldest = unsent.keySet().iterator().next();
-      unsent.remove(oldest);
-      unoffered.remove(oldest);
+    WaitingReleases.Waiting release = waiting.add(id, cause);
+    log.state(id, "", "release " + cause + " waits, the connection of its call is not open");
+    CallerConnection mostUsed = mostUsedConnection();
+    if (mostUsed != null && send(mostUsed, id, cause)) {
+      release.sentOn(mostUsed);
     }
   }
 
   /**
-   * Sends releases that have waited for long on connections that have not brought a call: those
-   * that brought a test first, then the newest. Each release is sent so once, and waits on: none of
-   * them may be that of its caller.
+   * Offers the waiting releases to connections with calls; those that have waited for long, once,
+   * to connections without calls as well, as their callers may have no other.
    *
    * @param connections all open connections, oldest first
    */
   void offerWaiting(Collection<CallerConnection> connections) {
-    double now = scheduler.now();
-    List<CallerConnection> candidates = null;
-    Iterator<Map.Entry<String, Release>> oldest = unoffered.entrySet().iterator();
-    while (oldest.hasNext()) {
-      Map.Entry<String, Release> next = oldest.next();
-      if (now - next.getValue().timeMillis() < OFFER_AFTER_MILLIS) {
-        return;
-      }
-      candidates = candidates == null ? offerCandidates(connections) : candidates;
-      if (candidates.isEmpty()) {
-        return;
-      }
-      oldest.remove();
-      for (CallerConnection candidate : candidates) {
-        offer(candidate, next.getKey(), next.getValue().cause());
+    if (waiting.isEmpty()) {
+      return;
+    }
+    int left = MAX_OFFERS_PER_TURN;
+    for (CallerConnection connection : new ArrayList<>(connectionsWithCalls)) {
+      left -= offerTo(connection, waiting.after(connection.lastReleaseOffered(), left));
+    }
+    offerToIdle(connections, left / MAX_IDLE_OFFERS);
+  }
+
+  private void offerToIdle(Collection<CallerConnection> connections, int most) {
+    double untilMillis = scheduler.now() - IDLE_OFFER_AFTER_MILLIS;
+    List<WaitingReleases.Waiting> due = waiting.after(lastOfferedToIdle, most);
+    due.removeIf(release -> release.sinceMillis() > untilMillis);
+    List<CallerConnection> candidates = due.isEmpty() ? List.of() : idleConnections(connections);
+    for (CallerConnection connection : candidates) {
+      offerTo(connection, due);
+    }
+    if (!candidates.isEmpty()) {
+      lastOfferedToIdle = due.get(due.size() - 1).number();
+    }
+  }
+
+  /** Offers releases that a connection was not offered yet; returns how many there were. */
+  private int offerTo(CallerConnection connection, List<WaitingReleases.Waiting> releases) {
+    for (WaitingReleases.Waiting release : releases) {
+      if (release.number() > connection.lastReleaseOffered()) {
+        connection.releaseOffered(release.number());
+        offer(connection, release);
       }
     }
+    return releases.size();
   }
 
   /** Sends a release that waits on; it is not sent again if this connection ends. */
-  private void offer(CallerConnection connection, String id, int cause) {
-    if (connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause))) {
-      log.state(id, connection.name(), "release " + cause + " offered, it has waited for long");
+  private void offer(CallerConnection connection, WaitingReleases.Waiting release) {
+    if (release.wasSentOn(connection)) {
+      return;
+    }
+    CallerMessage message =
+        CallerMessage.withCause(CallerMessage.RELEASE, release.id(), release.cause());
+    if (connection.send(message)) {
+      log.state(release.id(), connection.name(), "release " + release.cause() + " offered");
     }
   }
 
-  private static List<CallerConnection> offerCandidates(Collection<CallerConnection> connections) {
+  /** Returns connections without calls: those that brought a test first, then the newest. */
+  private List<CallerConnection> idleConnections(Collection<CallerConnection> connections) {
     List<CallerConnection> newestFirst = new ArrayList<>(connections);
+    newestFirst.removeAll(connectionsWithCalls);
     Collections.reverse(newestFirst);
     return newestFirst.stream()
         .sorted(Comparator.comparing(connection -> !connection.used()))
-        .limit(MAX_OFFERS)
+        .limit(MAX_IDLE_OFFERS)
         .toList();
   }
 
   /**
-   * Returns the connection that has brought the most established calls; null if none has. This
-   * keeps releases away from clients that only check whether the controller is alive, or that
-   * called once and stayed connected.
+   * Returns the connection with the most calls that a switch answered, and if none has any, with
+   * the most calls named as established; null if there is none.
    */
   private CallerConnection mostUsedConnection() {
-    CallerConnection mostUsed = null;
-    for (CallerConnection connection : connectionsWithCalls) {
-      mostUsed =
-          mostUsed == null || connection.establishedCalls() >= mostUsed.establishedCalls()
-              ? connection
-              : mostUsed;
-    }
-    return mostUsed;
+    return connectionsWithCalls.stream()
+        .reduce((one, newer) -> CallerConnection.BY_CALLS.compare(one, newer) > 0 ? one : newer)
+        .orElse(null);
   }
 
   /** Drops the releases that have waited for their time, and those that have surely been read. */
   void dropExpired() {
-    double now = scheduler.now();
-    Iterator<Map.Entry<String, Release>> oldest = unsent.entrySet().iterator();
-    while (oldest.hasNext()) {
-      Map.Entry<String, Release> next = oldest.next();
-      if (now - next.getValue().timeMillis() < UNSENT_LIFETIME_MILLIS) {
-        break;
-      }
-      log.ignored(next.getKey(), "", "release " + next.getValue().cause() + " waited too long");
-      oldest.remove();
-      unoffered.remove(next.getKey());
+    for (WaitingReleases.Waiting expired : waiting.takeExpired()) {
+      log.ignored(expired.id(), "", "release " + expired.cause() + " waits no longer");
     }
     connectionsWithCalls.forEach(this::forgetOldReleases);
   }
 
-  /** Number of releases that wait for a connection. */
-  int unsentCount() {
-    return unsent.size();
+  /** Number of releases that wait. */
+  int waitingCount() {
+    return waiting.size();
   }
 
   private boolean send(CallerConnection connection, String id, int cause) {
