--- a/isupfront/src/main/java/coveladder/isupfront/OutstandingAttempt.java
+++ b/isupfront/src/main/java/coveladder/isupfront/OutstandingAttempt.java
@@ -11,7 +11,7 @@
   /** Clock at which the controller started the attempt, ms. */
   final double startedAt;
 
-  /** Whether an earlier attempt of the call at this switch was cancelled. */
+  /** Whether messages of an earlier attempt of the call at this switch may still arrive. */
   final boolean repeated;
 
   boolean sent;
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -6,6 +6,7 @@
 import coveladder.CallPolicy.Reason;
 import coveladder.core.AttemptRequest;
 import coveladder.core.ExchangeDirectory;
+import coveladder.isup.Cause;
 import coveladder.isup.SwitchMessage;
 import coveladder.isupfront.Transport.Loss;
 import coveladder.wire.ReportReader;
@@ -58,6 +59,9 @@
   private final Map<String, EstablishedCall> established = new LinkedHashMap<>();
   private final ExpiringMap<String> cancelledIds;
 
+  /** Calls with an earlier attempt here of which messages may still arrive. */
+  private final EarlierAttempts earlierAttempts;
+
   /** Calls whose release waits for a connection. */
   private final ExpiringMap<String> unsentReleases;
 
@@ -76,14 +80,16 @@
    * @param attempt number of the attempt that established it
    * @param startedAt clock at which that attempt was started, or at which the call was reported as
    *     established, ms
+   * @param repeated whether messages of an earlier attempt may be mistaken for those of this call
    */
-  private record EstablishedCall(int attempt, double startedAt) {}
+  private record EstablishedCall(int attempt, double startedAt, boolean repeated) {}
 
   SwitchLink(ExchangeDirectory.Entry entry, SwitchLinks links) {
     this.entry = entry;
     this.links = links;
     this.cancelledIds =
         new ExpiringMap<>(links.scheduler(), MAX_CANCELLED_IDS, CANCELLED_LIFETIME_MILLIS);
+    this.earlierAttempts = new EarlierAttempts(links.scheduler());
     this.unsentReleases =
         new ExpiringMap<>(
             links.scheduler(), links.limits().maxTrackedCalls(), UNSENT_LIFETIME_MILLIS);
@@ -214,6 +220,9 @@
     connection.outstanding().clear();
     for (OutstandingAttempt attempt : attempts) {
       Outcome outcome = wasOpen && attempt.sent ? Outcome.RESET : Outcome.REFUSED;
+      if (outcome == Outcome.RESET) {
+        earlierAttempts.endedUnheard(attempt.request.call());
+      }
       links.attemptEnded(attempt.request, outcome, Reason.NONE, Load.UNKNOWN);
       if (outcome == Outcome.RESET) {
         // The switch may have answered: nobody would end that call.
@@ -294,13 +303,14 @@
 
   private void dropExpired() {
     cancelledIds.dropExpired();
+    earlierAttempts.dropExpired();
     unsentReleases.dropExpired();
     connections.forEach(SwitchConnection::dropExpired);
   }
 
   /** Number of ids kept for messages that may still come. */
   int keptIds() {
-    return cancelledIds.size() + unsentReleases.size();
+    return cancelledIds.size() + earlierAttempts.size() + unsentReleases.size();
   }
 
   /**
@@ -395,7 +405,8 @@
    * is never sent.
    */
   void startAttempt(AttemptRequest request, SetUp setUp) {
-    boolean repeated = cancelledIds.remove(request.call());
+    cancelledIds.remove(request.call());
+    boolean repeated = earlierAttempts.mayBeHeardOf(request.call());
     OutstandingAttempt attempt = new OutstandingAttempt(request, setUp, links.now(), repeated);
     SwitchConnection connection = chooseConnection();
     connection.outstanding().put(request.call(), attempt);
@@ -456,8 +467,7 @@
       if (outstanding != null && outstanding.request.attempt() == attempt) {
         connection.outstanding().remove(id);
         if (outstanding.sent) {
-          connection.sendClose(id);
-          cancelledIds.put(id, id);
+          giveUp(connection, id);
           if (connection.lastReceivedAt() < outstanding.startedAt) {
             connection.markUnresponsive(outstanding.startedAt);
           }
@@ -468,6 +478,13 @@
     return false;
   }
 
+  /** Writes that a set-up is given up; its answer may be on the way. */
+  private void giveUp(SwitchConnection connection, String id) {
+    connection.sendClose(id);
+    cancelledIds.put(id, id);
+    earlierAttempts.endedUnheard(id);
+  }
+
   /** Releases a call, if it is established at this switch. */
   void release(String id) {
     if (established.remove(id) == null) {
@@ -537,7 +554,7 @@
 
   /** Tracks a call that a caller reported as established at this switch. */
   void resume(String id) {
-    established.put(id, new EstablishedCall(0, links.now()));
+    established.put(id, new EstablishedCall(0, links.now(), /* repeated= */ false));
   }
 
   // ---- Messages -----------------------------------------------------------------------------
@@ -568,7 +585,8 @@
         return;
       }
       connection.outstanding().remove(id);
-      established.put(id, new EstablishedCall(attempt.request.attempt(), attempt.startedAt));
+      established.put(
+          id, new EstablishedCall(attempt.request.attempt(), attempt.startedAt, attempt.repeated));
       links.attemptAnswered(attempt.request, message.text());
       if (attempt.earlyRelease != null) {
         endEstablished(connection, attempt.earlyRelease);
@@ -604,8 +622,13 @@
     String id = message.sid();
     OutstandingAttempt attempt = connection.outstanding().get(id);
     Load load = Outcomes.parseLoad(message.attrs().get("load"));
+    if (attempt != null && attempt.sent && attempt.repeated) {
+      onCloseOfRepeated(connection, attempt, message);
+      return;
+    }
     if (attempt != null && attempt.sent) {
       connection.outstanding().remove(id);
+      earlierAttempts.ended(id);
       Reason reason = ReportReader.reason(message.attrs().getOrDefault("note", ""));
       links.attemptEnded(attempt.request, Outcomes.beforeAnswer(message.code()), reason, load);
       return;
@@ -618,6 +641,26 @@
     }
   }
 
+  /**
+   * Handles a refusal or release that may be that of an earlier attempt of the call here. The cause
+   * of a call that came to its end is surely not the end of an attempt without an answer, which
+   * goes on. Any other may be the end of either: the attempt is given up, so that it is not out any
+   * more when the policy starts the next one.
+   */
+  private void onCloseOfRepeated(
+      SwitchConnection connection, OutstandingAttempt attempt, SwitchMessage message) {
+    String id = message.sid();
+    if (message.code() == Cause.NORMAL_CLEARING) {
+      log().ignored(id, connection.name(), "release of an earlier attempt");
+      return;
+    }
+    log().state(id, connection.name(), "given up: ended, or an earlier attempt was");
+    connection.outstanding().remove(id);
+    giveUp(connection, id);
+    Load load = Outcomes.parseLoad(message.attrs().get("load"));
+    links.attemptEnded(attempt.request, Outcome.RESET, Reason.NONE, load);
+  }
+
   /**
    * Keeps a release that arrives before the answer, which is still unread on the connection of the
    * set-up. After an earlier attempt of the call at this switch the release may be that attempt's.
@@ -639,6 +682,10 @@
       Load load = Outcomes.parseLoad(message.attrs().get("load"));
       log().state(id, connection.name(), "released by the switch, cause " + message.code());
       links.establishedCallEnded(id, call.attempt(), Outcomes.afterAnswer(message.code()), load);
+      if (call.repeated()) {
+        // The release may be that of the earlier attempt: nobody would end this call.
+        sendRelease(id);
+      }
     } else {
       links.unknownCallReleased(connection, id, message.code());
     }
