--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -345,7 +345,7 @@
     }
     if (calls.size() >= limits.maxTrackedCalls()
         || !switches.resume(setUp.id(), setUp.establishedAt())) {
-      counters.increment("calls said to stand at a switch that is not known");
+      counters.increment("calls said to stand at a switch where they cannot");
       log.refused(setUp.id(), connection.name(), "cannot be resumed at " + setUp.establishedAt());
       switches.releaseUntracked(setUp.id(), setUp.establishedAt());
       releases.release(connection, setUp.id(), Cause.TEMPORARY_FAILURE);
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -262,7 +262,10 @@
     log.state("", "journal", "event " + position + " applied");
     controller.updateDirectory(
         new ExchangeDirectory.Update(
-            line.snapshot(), controller.directory().version(), position, listed));
+            line.snapshot(),
+            controller.directory().version(),
+            position,
+            AddressOwners.closeSuperseded(listed, line.snapshot(), controller.directory())));
     directoryListener.run();
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The signalling link to one switch: its connections, the set-ups outstanding on them, and the
@@ -370,11 +371,24 @@
     disconnectCallsBefore(Double.POSITIVE_INFINITY);
   }
 
-  /** Ends the link, as the exchange directory no longer lists the switch. */
-  void removedFromDirectory() {
+  /**
+   * Ends the link, as the exchange directory no longer lists the switch.
+   *
+   * @return calls whose release could not be sent
+   */
+  Set<String> removedFromDirectory() {
     inDirectory = false;
     declareGone("not on the list");
     close();
+    return unsentReleases.takeAll().keySet();
+  }
+
+  /**
+   * Releases calls of the switch that had this address before: set-ups that were sent while this
+   * one was not listed yet have reached it.
+   */
+  void releaseAll(Set<String> calls) {
+    calls.forEach(this::sendRelease);
   }
 
   /**
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 
@@ -34,6 +35,7 @@
   private final AttemptGuard guard;
   private final SplittableRandom random;
   private final Map<String, SwitchLink> links = new LinkedHashMap<>();
+  private final KnownStarts knownStarts = new KnownStarts();
   private final Map<String, SwitchLink> linkByCall = new LinkedHashMap<>();
   private final Map<String, Double> probeSentAt = new LinkedHashMap<>();
   private BiConsumer<String, String> descriptionListener = (call, text) -> {};
@@ -115,18 +117,23 @@
   /** Creates, updates and ends links as the exchange directory has changed. */
   void directoryChanged() {
     ExchangeDirectory directory = controller.directory();
+    Map<String, Set<String>> releasesByAddress = new LinkedHashMap<>();
     for (SwitchLink link : new ArrayList<>(links.values())) {
       ExchangeDirectory.Entry entry = directory.byId(link.id());
       if (entry == null || !entry.address().equals(link.address())) {
         links.remove(link.id());
-        link.removedFromDirectory();
+        releasesByAddress.put(link.address(), link.removedFromDirectory());
       }
     }
     for (ExchangeDirectory.Entry entry : directory.entries()) {
       if (entry.number() != localExchange && entry.state() != ExchangeState.GONE) {
+        knownStarts.record(entry);
         links.computeIfAbsent(entry.id(), id -> new SwitchLink(entry, this)).updateEntry(entry);
       }
     }
+    for (SwitchLink link : links.values()) {
+      link.releaseAll(releasesByAddress.getOrDefault(link.address(), Set.of()));
+    }
   }
 
   /** Whether the state of all circuit groups is known, or the wait for it is over. */
@@ -191,14 +198,19 @@
     return directory.byId(exchange) == null && Double.isInfinite(directory.closedSince(exchange));
   }
 
-  /** Resumes a call established at a switch; returns false if there is no link to that switch. */
+  /**
+   * Resumes a call established at a switch; returns false if there is no link to that switch, or if
+   * it has started again since this controller runs: a call that this run does not know was set up
+   * before, and has been cut.
+   */
   boolean resume(String call, String exchange) {
     SwitchLink link = links.get(exchange);
-    if (link != null) {
-      linkByCall.put(call, link);
-      link.resume(call);
+    if (link == null || knownStarts.startedAgain(exchange)) {
+      return false;
     }
-    return link != null;
+    linkByCall.put(call, link);
+    link.resume(call);
+    return true;
   }
 
   /** Releases a call that is not tracked but was named as established at a switch. */
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -185,7 +185,9 @@
   void theNumberOfListedSwitchesIsBounded() {
     FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
     for (int position = 2; position <= 1_500; position++) {
-      journal.deliver(journalEvent(position, "x" + position, "in_service"));
+      int port = 10_000 + position;
+      journal.deliver(
+          FrontEndHarness.journalEvent(position, "x" + position, port, "in_service", 0));
     }
     assertEquals(1_000, harness.frontEnd.controller().directory().entries().size());
     journal.deliver(journalEvent(1_501, "x2", "terminated"));
--- a/isupfront/src/test/java/coveladder/isupfront/SoakTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/SoakTest.java
@@ -112,6 +112,7 @@
         harness.clock.advance(50);
         if (i % 20 == 0) {
           harness.connectionTo(8500).deliver(Integer.toString(position - 1));
+          harness.connectionTo(2).deliver(FrontEndHarness.status(20));
           harness.connectionTo(3).deliver(FrontEndHarness.status(20));
         }
         if (i % 400 == 0) {
