Requests of clients that have left are not sent on; floods hold up no other connection

Cause: input was acted on in the order of its reading, with the close behind it, and the selector thread waited whenever 64 KiB of any caller waited for the event loop.

Set-ups and attempts wait until nothing unread is behind them, and are refused after 0.5 s and 0.1 s.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -1,5 +1,6 @@
 package coveladder.isupfront;
 
+import coveladder.core.Scheduler;
 import coveladder.isup.CallerCodec;
 import coveladder.isup.CallerFramer;
 import coveladder.isup.CallerMessage;
@@ -33,6 +34,9 @@
   /** Memory of the set-ups of the pending calls, octets. */
   private long pendingOctets;
 
+  /** Set-ups that were accepted and not reported to the controller yet, by call id. */
+  private final Map<String, HeldSetUp> heldSetUps = new LinkedHashMap<>();
+
   private final RecentIds refusedDuplicateIds = new RecentIds(MAX_REFUSED_IDS);
   private final Map<String, ReleaseSender.Release> recentReleases = new LinkedHashMap<>();
 
@@ -44,6 +48,7 @@
 
   private double lastOctetsAt;
 
+  private boolean inputCheckScheduled;
   private boolean used;
   private boolean closed;
   private int unusableMessages;
@@ -64,6 +69,14 @@
     this.lastMessageAt = now;
   }
 
+  /**
+   * A set-up that waits until the input behind it is read.
+   *
+   * @param setUp the set-up
+   * @param arrived clock at which it was read, ms
+   */
+  record HeldSetUp(SetUp setUp, double arrived) {}
+
   /** Name in the log. */
   String name() {
     return name;
@@ -86,8 +99,32 @@
     }
   }
 
+  /** Set-ups that were accepted and not reported to the controller yet, by call id. */
+  Map<String, HeldSetUp> heldSetUps() {
+    return heldSetUps;
+  }
+
+  /** Checks after a time whether the input behind the held set-ups is read by then. */
+  void checkInputAfter(double delayMillis, Scheduler scheduler) {
+    if (!inputCheckScheduled) {
+      inputCheckScheduled = true;
+      scheduler.schedule(
+          delayMillis,
+          () -> {
+            inputCheckScheduled = false;
+            requests.inputProcessed(this);
+          });
+    }
+  }
+
+  /** Whether octets have arrived that were not processed yet. */
+  boolean hasUnreadInput() {
+    return connection.hasUnreadInput();
+  }
+
   /** Removes a pending call whose set-up takes the given memory, octets. */
   void removePending(String id, int octets) {
+    heldSetUps.remove(id);
     if (pendingCalls.remove(id)) {
       pendingOctets -= octets;
     }
@@ -177,6 +214,7 @@
       if (framer.hasPartialMessage() && Double.isNaN(partialMessageSince)) {
         partialMessageSince = arrived;
       }
+      requests.inputProcessed(this);
     } catch (MalformedException e) {
       requests.closeUnreadable(this, e.getMessage());
     }
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -7,6 +7,7 @@
 import coveladder.isup.CallerMessage;
 import coveladder.isup.Cause;
 import coveladder.isup.MalformedException;
+import coveladder.isupfront.CallerConnection.HeldSetUp;
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -24,7 +26,13 @@
  * an established call is accepted on any connection, except one on which a set-up with that id was
  * refused as a duplicate. Any other RELEASE is only acknowledged.
  */
-final class CallerRequests {
+final class CallerRequests implements CallerInput {
+  /** Interval at which a connection is checked whose input is not read yet. */
+  private static final double INPUT_CHECK_MILLIS = 5;
+
+  /** Time after which a set-up is refused whose connection still has input that is not read. */
+  private static final double MAX_HOLD_MILLIS = 500;
+
   private final CallController controller;
   private final Scheduler scheduler;
   private final Limits limits;
@@ -267,15 +275,71 @@
     pendingOctets += setUp.memoryOctets();
     endedCalls.forget(setUp.id());
     releases.callBrought(connection);
-    double holdMillis = guardTimeLeft(setUp.id());
-    if (holdMillis > 0) {
-      log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
-      scheduler.schedule(holdMillis, () -> reportArrival(setUp, arrived));
+    connection.heldSetUps().put(setUp.id(), new HeldSetUp(setUp, arrived));
+  }
+
+  /**
+   * Reports the set-ups of a connection to the controller, unless more of its input has arrived:
+   * its client may give them up in there, or have closed the connection behind it.
+   */
+  void inputProcessed(CallerConnection connection) {
+    if (connection.heldSetUps().isEmpty()) {
+      return;
+    }
+    if (connection.hasUnreadInput()) {
+      refuseHeldForLong(connection);
+      connection.checkInputAfter(INPUT_CHECK_MILLIS, scheduler);
     } else {
-      reportArrival(setUp, arrived);
+      reportHeld(connection);
+    }
+  }
+
+  private void refuseHeldForLong(CallerConnection connection) {
+    double now = scheduler.now();
+    for (HeldSetUp held : new ArrayList<>(connection.heldSetUps().values())) {
+      if (now - held.arrived() < MAX_HOLD_MILLIS) {
+        return;
+      }
+      counters.increment("set-ups refused as the input behind them is not read in time");
+      refuseAccepted(held.setUp().id());
     }
   }
 
+  private void refuseAccepted(String id) {
+    CallerCall call = calls.get(id);
+    abandon(id);
+    refuseForCongestion(call.connection, id, "too much input behind it");
+  }
+
+  private void reportHeld(CallerConnection connection) {
+    List<HeldSetUp> held = new ArrayList<>(connection.heldSetUps().values());
+    connection.heldSetUps().clear();
+    for (HeldSetUp next : held) {
+      SetUp setUp = next.setUp();
+      double holdMillis = guardTimeLeft(setUp.id());
+      if (holdMillis > 0) {
+        log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
+        scheduler.schedule(holdMillis, () -> reportArrival(setUp, next.arrived()));
+      } else {
+        reportArrival(setUp, next.arrived());
+      }
+    }
+  }
+
+  /** Whether the caller of a pending call has sent what was not processed yet. */
+  @Override
+  public boolean hasUnreadInput(String id) {
+    CallerCall call = calls.get(id);
+    return call != null && call.connection.hasUnreadInput();
+  }
+
+  /** Refuses a pending call, as the input of its caller is not read in time. */
+  @Override
+  public void refuseBacklogged(String id) {
+    counters.increment("calls refused as the input of their caller is not read in time");
+    refuseAccepted(id);
+  }
+
   /**
    * Returns the time for which a set-up must wait as its id was given up just before, ms. A caller
    * sends it again under its id if the network has cut its connection.
@@ -554,6 +618,11 @@
     failingCallerTests = true;
   }
 
+  /** Reports all set-ups to the controller that wait for the input behind them. */
+  void reportAllHeld() {
+    new ArrayList<>(connections).forEach(this::reportHeld);
+  }
+
   /** Refuses all new set-ups from now on. */
   void refuseSetUps() {
     refusingSetUps = true;
--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -126,6 +126,7 @@
             switches::directoryChanged,
             callers::directoryConfirmed);
     switches.setDescriptionListener(callers::storeDescription);
+    switches.setCallerInput(callers);
   }
 
   private static double shutdownWindowMillis(List<CallPolicy.CallClass> classes) {
@@ -223,6 +224,7 @@
       callers.refuseSetUps();
     }
     if (elapsedMillis >= shutdownWindowMillis) {
+      callers.reportAllHeld();
       controller.shutDown();
     }
     if (elapsedMillis >= shutdownWindowMillis + RELEASE_PERIOD_MILLIS
--- a/isupfront/src/main/java/coveladder/isupfront/OutstandingAttempt.java
+++ b/isupfront/src/main/java/coveladder/isupfront/OutstandingAttempt.java
@@ -16,6 +16,9 @@
 
   boolean sent;
 
+  /** Clock since which it waits for the input of its caller to be read, ms; NaN if it does not. */
+  double waitingForInputSince = Double.NaN;
+
   /**
    * The release that a switch sent on another connection before the answer was read here; null if
    * there is none.
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -51,6 +51,12 @@
   /** Time for which a release waits for a connection to the switch. */
   private static final double UNSENT_LIFETIME_MILLIS = 30_000;
 
+  /** Time after which a set-up is given up whose caller's input is still not read. */
+  private static final double MAX_INPUT_WAIT_MILLIS = 100;
+
+  /** Interval at which a set-up is checked that waits for its caller's input to be read. */
+  private static final double INPUT_CHECK_MILLIS = 5;
+
   /** Call id of a probe. */
   private static final String NO_CALL_ID = "0000000000000000";
 
@@ -186,7 +192,7 @@
         .filter(this::isFree)
         .forEach(connection::sendRelease);
     for (OutstandingAttempt attempt : new ArrayList<>(connection.outstanding().values())) {
-      send(connection, attempt);
+      sendIfOutstanding(connection, attempt);
     }
   }
 
@@ -428,10 +434,19 @@
   }
 
   private void sendIfOutstanding(SwitchConnection connection, OutstandingAttempt attempt) {
-    if (connection.isOpen()
-        && !attempt.sent
-        && connection.outstanding().get(attempt.request.call()) == attempt) {
+    if (!connection.isOpen()
+        || attempt.sent
+        || connection.outstanding().get(attempt.request.call()) != attempt) {
+      return;
+    }
+    if (!links.callerInput().hasUnreadInput(attempt.request.call())) {
       send(connection, attempt);
+    } else if (links.now() - attempt.waitingForInputSince > MAX_INPUT_WAIT_MILLIS) {
+      links.callerInput().refuseBacklogged(attempt.request.call());
+    } else {
+      boolean first = Double.isNaN(attempt.waitingForInputSince);
+      attempt.waitingForInputSince = first ? links.now() : attempt.waitingForInputSince;
+      links.schedule(INPUT_CHECK_MILLIS, () -> sendIfOutstanding(connection, attempt));
     }
   }
 
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -39,6 +39,7 @@
   private final Map<String, SwitchLink> linkByCall = new LinkedHashMap<>();
   private final Map<String, Double> probeSentAt = new LinkedHashMap<>();
   private BiConsumer<String, String> descriptionListener = (call, text) -> {};
+  private CallerInput callerInput = CallerInput.NONE;
   private final double startedAt;
 
   SwitchLinks(
@@ -73,6 +74,14 @@
     descriptionListener = listener;
   }
 
+  void setCallerInput(CallerInput input) {
+    callerInput = input;
+  }
+
+  CallerInput callerInput() {
+    return callerInput;
+  }
+
   Transport transport() {
     return transport;
   }
--- a/isupfront/src/main/java/coveladder/isupfront/Transport.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Transport.java
@@ -18,6 +18,14 @@
      */
     boolean send(byte[] octets);
 
+    /**
+     * Whether octets have arrived that were not passed to the listener yet. The end of the
+     * connection may be behind them.
+     */
+    default boolean hasUnreadInput() {
+      return false;
+    }
+
     /** Closes the connection once queued octets are sent; its listener gets no more events. */
     void close();
 
--- a/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
+++ b/isupfront/src/test/java/coveladder/isupfront/FrontEndHarness.java
@@ -78,6 +78,9 @@
     final List<String> sent = new ArrayList<>();
     boolean closed;
 
+    /** Whether more input has arrived than was delivered. */
+    boolean unread;
+
     FakeConnection(int port, ConnectionListener listener) {
       this.port = port;
       this.listener = listener;
@@ -97,6 +100,11 @@
       return true;
     }
 
+    @Override
+    public boolean hasUnreadInput() {
+      return unread;
+    }
+
     @Override
     public void close() {
       closed = true;
--- a/net/src/main/java/coveladder/net/Stream.java
+++ b/net/src/main/java/coveladder/net/Stream.java
@@ -11,6 +11,7 @@
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -29,6 +30,11 @@
   private final AtomicLong totalQueuedBytes;
   private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
   private final AtomicLong queuedBytes = new AtomicLong();
+  private final StreamInput input;
+
+  /** Whether the peer has ended the connection, as seen by the selector thread. */
+  private volatile boolean inputEnded;
+
   private volatile Connection<SocketAddress> connection;
   private Future<?> connectAttempt;
   private Object attachment;
@@ -44,13 +50,19 @@
    * @param maxQueuedBytes maximum memory of queued messages, bytes, {@link #MESSAGE_OVERHEAD_BYTES}
    *     for each included; eight times as much for all streams together
    * @param totalQueuedBytes counter of the bytes queued on all streams of the node
+   * @param totalWaitingBytes counter of the bytes read on all streams that wait for the event loop
    */
   Stream(
-      InetSocketAddress remote, boolean outbound, int maxQueuedBytes, AtomicLong totalQueuedBytes) {
+      InetSocketAddress remote,
+      boolean outbound,
+      int maxQueuedBytes,
+      AtomicLong totalQueuedBytes,
+      AtomicLong totalWaitingBytes) {
     this.remote = remote;
     this.outbound = outbound;
     this.maxQueuedBytes = maxQueuedBytes;
     this.totalQueuedBytes = totalQueuedBytes;
+    this.input = new StreamInput(this, totalWaitingBytes);
   }
 
   /** Returns the address of the peer. */
@@ -164,6 +176,63 @@
     }
   }
 
+  /** Returns the input that was read and waits for the event loop. */
+  public StreamInput input() {
+    return input;
+  }
+
+  /** Reads nothing more from the connection until it is resumed, on the selector thread. */
+  void suspendReading() {
+    setReading(false);
+  }
+
+  /** Reads from the connection again; from any thread. */
+  void resumeReading() {
+    setReading(true);
+  }
+
+  private void setReading(boolean enabled) {
+    if (!(connection instanceof NIOConnection nio) || !nio.isOpen()) {
+      return;
+    }
+    try {
+      if (enabled) {
+        nio.enableIOEvent(IOEvent.READ);
+      } else {
+        nio.disableIOEvent(IOEvent.READ);
+      }
+    } catch (IOException e) {
+      // The connection has ended: nothing is read from it any more.
+      close();
+    }
+  }
+
+  /** Records that the peer has ended the connection: nothing comes behind what was read. */
+  void inputEnded() {
+    inputEnded = true;
+  }
+
+  /**
+   * Returns whether bytes, or the end of the connection, have arrived that were not passed to the
+   * listener yet, as far as this can be seen without reading.
+   */
+  public boolean hasUnreadInput() {
+    return inputEnded || input.hasWaiting() || unreadBytesInSocket() > 0;
+  }
+
+  private int unreadBytesInSocket() {
+    if (connection instanceof NIOConnection nio
+        && nio.getChannel() instanceof SocketChannel channel) {
+      try {
+        return channel.socket().getInputStream().available();
+      } catch (IOException e) {
+        // The connection has ended: nothing more is read from it.
+        return 0;
+      }
+    }
+    return 0;
+  }
+
   /** Closes the connection once all queued bytes are written. */
   void closeWhenSent() {
     closeRequested = true;
--- a/net/src/main/java/coveladder/net/Streams.java
+++ b/net/src/main/java/coveladder/net/Streams.java
@@ -40,6 +40,7 @@
       new IdentityHashMap<>();
   private final AtomicInteger inboundCount = new AtomicInteger();
   private final AtomicLong totalQueuedBytes = new AtomicLong();
+  private final AtomicLong totalWaitingBytes = new AtomicLong();
   private final AtomicLong discardedBytes = new AtomicLong();
   private Connection<SocketAddress> serverConnection;
 
@@ -156,7 +157,7 @@
    * @param attachment object of the listener, attached before anything is read from the connection
    */
   public Stream connect(InetSocketAddress to, Object attachment) {
-    Stream stream = new Stream(to, true, limits.maxQueuedBytes(), totalQueuedBytes);
+    Stream stream = newStream(to, true);
     stream.attachment(attachment);
     streams.add(stream);
     if (streams.size() > limits.maxConnections() || to.isUnresolved()) {
@@ -170,6 +171,11 @@
     return stream;
   }
 
+  private Stream newStream(InetSocketAddress remote, boolean outbound) {
+    return new Stream(
+        remote, outbound, limits.maxQueuedBytes(), totalQueuedBytes, totalWaitingBytes);
+  }
+
   /** Closes a connection once its queued bytes are written, without notifying the listener. */
   public void close(Stream stream) {
     remove(stream);
@@ -300,7 +306,7 @@
         return context.getInvokeAction();
       }
       InetSocketAddress remote = (InetSocketAddress) connection.getPeerAddress();
-      Stream stream = new Stream(remote, false, limits.maxQueuedBytes(), totalQueuedBytes);
+      Stream stream = newStream(remote, false);
       STREAM.set(connection, stream);
       listener.accepting(stream);
       dispatch(stream, () -> accepted(stream, connection));
@@ -323,6 +329,9 @@
     private NextAction close(FilterChainContext context) {
       Connection<SocketAddress> connection = connection(context);
       Stream stream = STREAM.get(connection);
+      if (stream != null) {
+        stream.inputEnded();
+      }
       if (stream != null && !stream.outbound()) {
         inboundCount.decrementAndGet();
       }
--- a/serve/src/main/java/coveladder/serve/SocketTransport.java
+++ b/serve/src/main/java/coveladder/serve/SocketTransport.java
@@ -1,10 +1,10 @@
 package coveladder.serve;
 
 import coveladder.isupfront.Transport;
-import coveladder.net.ByteBudget;
 import coveladder.net.EventLoop;
 import coveladder.net.Sockets;
 import coveladder.net.Stream;
+import coveladder.net.StreamInput;
 import coveladder.net.Streams;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -12,29 +12,19 @@
 
 /**
  * Implements the front end's transport on sockets. Bytes that were read are handed to the event
- * loop; budgets limit those that wait for it, and past them nothing is read.
+ * loop in parts, a part of each stream at a time; a stream is not read while much of it waits.
  *
- * <p>Input and closes of callers are processed before timers and other tasks, so that no call is
- * sent on whose caller has released it or disconnected. Updates of the exchange directory are
- * processed before both.
+ * <p>The first part of what callers sent, and their closes, are processed before timers and other
+ * tasks, so that no call is sent on whose caller has released it or disconnected; what is behind
+ * the first part is known as unread input. Updates of the exchange directory are processed before
+ * both.
  */
 final class SocketTransport implements Transport, Streams.Listener {
-  /**
-   * Maximum number of bytes of callers that were read and wait for the event loop; some tens of
-   * milliseconds of its work, however short the messages are.
-   */
-  private static final int MAX_PENDING_CALLER_BYTES = 1 << 16;
-
-  /** Maximum number of bytes of switches and the journal service that wait for the event loop. */
-  private static final int MAX_PENDING_PEER_BYTES = 1 << 18;
-
-  /** Memory of a read besides its bytes. */
-  private static final int READ_OVERHEAD_BYTES = 128;
+  /** Maximum number of bytes passed to a listener before other streams have their turn. */
+  private static final int MAX_PART_BYTES = 1_024;
 
   private final EventLoop loop;
   private final Streams streams;
-  private final ByteBudget callerBudget = new ByteBudget(MAX_PENDING_CALLER_BYTES);
-  private final ByteBudget peerBudget = new ByteBudget(MAX_PENDING_PEER_BYTES);
   private Function<Connection, ConnectionListener> acceptor = connection -> null;
 
   SocketTransport(Sockets sockets, EventLoop loop, Streams.Limits limits) {
@@ -66,6 +56,11 @@
       return stream.send(octets);
     }
 
+    @Override
+    public boolean hasUnreadInput() {
+      return stream.hasUnreadInput();
+    }
+
     @Override
     public void close() {
       streams.close(stream);
@@ -114,34 +109,46 @@
 
   @Override
   public void lost(Stream stream, Streams.Loss loss) {
+    StreamInput input = stream.input();
+    for (StreamInput.Part part = input.take(Integer.MAX_VALUE);
+        part != null;
+        part = input.take(Integer.MAX_VALUE)) {
+      listener(stream).received(part.octets(), part.arrivedMillis());
+    }
     // The constants of both enums have the same names.
     listener(stream).lost(Loss.valueOf(loss.name()));
   }
 
   @Override
   public void read(Stream stream, byte[] octets, double arrivedMillis) {
-    ByteBudget budget = stream.outbound() ? peerBudget : callerBudget;
-    int cost = octets.length + READ_OVERHEAD_BYTES;
-    if (!budget.acquire(cost)) {
-      // The thread was interrupted while it waited for the budget.
-      streams.countDiscarded(octets.length);
+    if (!stream.input().add(octets, arrivedMillis)) {
       return;
     }
-    Runnable deliver =
-        () -> {
-          budget.release(cost);
-          if (streams.contains(stream)) {
-            listener(stream).received(octets, arrivedMillis);
-          } else {
-            streams.countDiscarded(octets.length);
-          }
-        };
+    Runnable visit = () -> deliver(stream);
     if (!stream.outbound()) {
-      loop.executePrioritized(deliver);
+      loop.executePrioritized(visit);
     } else if (stream.attachment() instanceof ConnectionListener listener && listener.urgent()) {
-      loop.executeUrgent(deliver);
+      loop.executeUrgent(visit);
     } else {
-      loop.execute(deliver);
+      loop.execute(visit);
+    }
+  }
+
+  /**
+   * Passes a part of what waits on a stream to its listener. The rest follows after the input of
+   * the streams that have less waiting, and after timers and tasks that are due.
+   */
+  private void deliver(Stream stream) {
+    StreamInput input = stream.input();
+    if (!streams.contains(stream)) {
+      streams.countDiscarded(input.discard());
+    }
+    StreamInput.Part part = input.take(MAX_PART_BYTES);
+    if (part != null) {
+      listener(stream).received(part.octets(), part.arrivedMillis());
+    }
+    if (input.visitAgain()) {
+      loop.after(0, () -> deliver(stream));
     }
   }
 }
