Ever new names neither hold the loop nor push out what switches told

Change: deferred calls are decided on 100 at a time; figures have a length; ends that only callers tell are kept apart; ids that are none are not kept.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -423,7 +423,11 @@
 
   /** Resumes calls whose switch is listed by now, and releases those whose switch is gone. */
   void directoryConfirmed() {
-    deferredResumptions.takeAll().forEach(this::resumeDeferred);
+    List<DeferredResumptions.Deferred> oldest = deferredResumptions.takeOldest();
+    oldest.forEach(this::resumeDeferred);
+    if (oldest.size() == DeferredResumptions.MAX_TAKEN) {
+      scheduler.schedule(0, this::directoryConfirmed);
+    }
   }
 
   /**
@@ -431,13 +435,21 @@
    * that are not awaited any more.
    */
   void dropExpired() {
-    deferredResumptions.takeExpired().forEach(this::resumeDeferred);
+    resumeExpired();
     endedCalls.dropExpired();
     givenUpAt.dropExpired();
     releases.dropExpired();
     releases.offerWaiting(new ArrayList<>(connections));
   }
 
+  private void resumeExpired() {
+    List<DeferredResumptions.Deferred> expired = deferredResumptions.takeExpired();
+    expired.forEach(this::resumeDeferred);
+    if (expired.size() == DeferredResumptions.MAX_TAKEN) {
+      scheduler.schedule(0, this::resumeExpired);
+    }
+  }
+
   /** Number of entries kept for messages that may still come. */
   int keptEntries() {
     return endedCalls.size() + deferredResumptions.size() + releases.waitingCount();
@@ -517,11 +529,17 @@
     }
   }
 
-  /** Remembers a caller's release of a call not tracked, unless its end is known already. */
+  /**
+   * Remembers a caller's release of a call not tracked. If its switch has released it too, nothing
+   * is left to do.
+   */
   private void rememberUnknownRelease(String id) {
-    boolean known = endedCalls.find(id) != null;
-    rememberCallerRelease(
-        id, known ? EndedCalls.ReleasedBy.CALLER_AND_SWITCH_TOLD : EndedCalls.ReleasedBy.CALLER);
+    EndedCalls.End known = endedCalls.find(id);
+    if (known == null || known.releasedBy() == EndedCalls.ReleasedBy.CALLER) {
+      endedCalls.rememberToldByCaller(id, Cause.NORMAL_CLEARING);
+    } else {
+      rememberCallerRelease(id, EndedCalls.ReleasedBy.CALLER_AND_SWITCH_TOLD);
+    }
   }
 
   private void abandon(String id) {
--- a/isupfront/src/main/java/coveladder/isupfront/DeferredResumptions.java
+++ b/isupfront/src/main/java/coveladder/isupfront/DeferredResumptions.java
@@ -2,9 +2,11 @@
 
 import coveladder.core.Scheduler;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Holds calls that were named as established at a switch missing from the exchange directory. The
@@ -15,6 +17,9 @@
   /** Time after which whatever a journal service that broke off has to tell counts as told. */
   static final double MAX_DEFERRAL_MILLIS = 4_000;
 
+  /** Maximum number of calls taken at a time, so that deciding on them holds up nothing else. */
+  static final int MAX_TAKEN = 100;
+
   private final Scheduler scheduler;
   private final int capacity;
   private final Map<String, Deferred> deferred = new LinkedHashMap<>();
@@ -50,20 +55,28 @@
     return true;
   }
 
-  /** Removes and returns all calls held. */
-  List<Deferred> takeAll() {
-    List<Deferred> taken = new ArrayList<>(deferred.values());
-    deferred.clear();
-    return taken;
+  /** Removes and returns the calls held longest. */
+  List<Deferred> takeOldest() {
+    return take(call -> true);
   }
 
-  /** Removes and returns the calls that are held no longer. */
+  /** Removes and returns those of the calls held longest that are held no longer. */
   List<Deferred> takeExpired() {
-    List<Deferred> expired = new ArrayList<>();
-    deferred
-        .values()
-        .removeIf(call -> scheduler.now() >= call.deadlineMillis() && expired.add(call));
-    return expired;
+    return take(call -> scheduler.now() >= call.deadlineMillis());
+  }
+
+  private List<Deferred> take(Predicate<Deferred> condition) {
+    List<Deferred> taken = new ArrayList<>();
+    Iterator<Deferred> oldest = deferred.values().iterator();
+    while (taken.size() < MAX_TAKEN && oldest.hasNext()) {
+      Deferred next = oldest.next();
+      if (!condition.test(next)) {
+        break;
+      }
+      taken.add(next);
+      oldest.remove();
+    }
+    return taken;
   }
 
   /** Number of calls held. */
--- a/isupfront/src/main/java/coveladder/isupfront/SetUp.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SetUp.java
@@ -42,6 +42,9 @@
   /** Maximum length of a called number, characters. */
   private static final int MAX_NUMBER_LENGTH = 64;
 
+  /** Maximum length of all figures together, characters; the known ones take under 200. */
+  private static final int MAX_FIGURES_LENGTH = 1_024;
+
   /** Maximum length of the id of a switch, characters. */
   private static final int MAX_SWITCH_ID_LENGTH = 64;
 
@@ -87,8 +90,7 @@
       MalformedException.expect(classNumber >= 0, "unknown class");
       String calledNumber = message.text(CallerMessage.NUMBER);
       MalformedException.expect(
-          calledNumber.length() <= MAX_NUMBER_LENGTH,
-          "a number of " + calledNumber.length() + " characters");
+          calledNumber.length() <= MAX_NUMBER_LENGTH, "a number of too many characters");
       Map<String, String> figures = parseFigures(message.text(CallerMessage.FIGURES));
       CallClass callClass = classes.get(classNumber);
       String establishedAt = figures.getOrDefault("at", "");
@@ -121,7 +123,7 @@
     private void check(SetUp setUp) throws MalformedException {
       MalformedException.expect(
           setUp.establishedAt.length() <= MAX_SWITCH_ID_LENGTH,
-          "an id of a switch of " + setUp.establishedAt.length() + " characters");
+          "an id of a switch of too many characters");
       MalformedException.expect(setUp.width >= 1 && setUp.width <= maxWidth, "width out of range");
       boolean established = !setUp.establishedAt.isEmpty();
       MalformedException.expect(
@@ -146,6 +148,8 @@
     }
 
     private static Map<String, String> parseFigures(String text) throws MalformedException {
+      MalformedException.expect(
+          text.length() <= MAX_FIGURES_LENGTH, "figures of too many characters");
       Map<String, String> figures = new HashMap<>();
       for (String figure : text.isEmpty() ? new String[0] : text.split(";")) {
         int colon = figure.indexOf(':');
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -24,6 +24,9 @@
   /** Time after the start at which the wait for the state of all circuit groups ends. */
   private static final double STATE_WAIT_MILLIS = 1_000;
 
+  /** Number of hexadecimal digits of a call id. */
+  private static final int CALL_ID_LENGTH = 16;
+
   private final CallController controller;
   private final Scheduler scheduler;
   private final Transport transport;
@@ -261,6 +264,10 @@
 
   /** A switch released a call that is not tracked; its caller may yet name it as established. */
   void unknownCallReleased(SwitchConnection connection, String call, int cause) {
+    if (call.length() != CALL_ID_LENGTH) {
+      log.ignored("", connection.name(), "release " + cause + " of what is no call id");
+      return;
+    }
     log.ignored(call, connection.name(), "release " + cause + " of a call not known, remembered");
     boolean normal = Outcomes.afterAnswer(cause) == Outcome.DONE;
     endedCalls.remember(call, EndedCalls.ReleasedBy.SWITCH, Outcomes.releaseCause(!normal));
