--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -46,6 +46,9 @@
   /** Clock at which calls with an attempt were given up, ms, by id, for the guard time. */
   private final ExpiringMap<Double> givenUpAt;
 
+  /** Calls given up or failed whose attempts may have run, of classes that may not be repeated. */
+  private final ExpiringMap<String> mayHaveRun;
+
   private final double guardMillis;
   private final EventRecorder log;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -104,6 +107,8 @@
     this.endedCalls = endedCalls;
     this.deferredResumptions = new DeferredResumptions(scheduler, limits.maxTrackedCalls());
     this.guardMillis = controller.settings().guardTime();
+    this.mayHaveRun =
+        new ExpiringMap<>(scheduler, limits.maxTrackedCalls(), EndedCalls.RETENTION_MILLIS);
     this.givenUpAt = new ExpiringMap<>(scheduler, limits.maxPendingCalls(), guardMillis);
     this.log = log;
   }
@@ -234,6 +239,9 @@
       resumeEstablished(connection, setUp, true);
     } else if (isInUse(id)) {
       refuseDuplicate(connection, id);
+    } else if (wouldRepeat(setUp)) {
+      log.refused(id, connection.name(), "may have run before, and may not be repeated");
+      connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.TEMPORARY_FAILURE));
     } else if (refusingSetUps) {
       refuseForCongestion(connection, id, "terminating");
     } else if (pendingCount >= limits.maxPendingCalls()) {
@@ -251,6 +259,19 @@
     return calls.containsKey(id) || controller.call(id) != null && guardTimeLeft(id) == 0;
   }
 
+  /**
+   * Whether a set-up under this id may have run already, and its class may not be repeated. A
+   * caller sends a set-up again under its id if its connection ended.
+   */
+  private boolean wouldRepeat(SetUp setUp) {
+    return !isRepeatable(setUp.classNumber())
+        && (mayHaveRun.get(setUp.id()) != null || endedCalls.find(setUp.id()) != null);
+  }
+
+  private boolean isRepeatable(int classNumber) {
+    return Double.isInfinite(controller.settings().classes().get(classNumber).repeatWindow());
+  }
+
   private void refuseForCongestion(CallerConnection connection, String id, String reason) {
     log.refused(id, connection.name(), reason);
     connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, Cause.CONGESTION));
@@ -438,6 +459,7 @@
     resumeExpired();
     endedCalls.dropExpired();
     givenUpAt.dropExpired();
+    mayHaveRun.dropExpired();
     releases.dropExpired();
     releases.offerWaiting(new ArrayList<>(connections));
   }
@@ -452,7 +474,10 @@
 
   /** Number of entries kept for messages that may still come. */
   int keptEntries() {
-    return endedCalls.size() + deferredResumptions.size() + releases.waitingCount();
+    return mayHaveRun.size()
+        + endedCalls.size()
+        + deferredResumptions.size()
+        + releases.waitingCount();
   }
 
   /** Number of releases that wait for connections of their callers. */
@@ -549,9 +574,16 @@
     if (tracked != null && tracked.attemptCount() > 0) {
       givenUpAt.put(id, scheduler.now());
     }
+    rememberIfItMayHaveRun(tracked);
     controller.callerAbandoned(id);
   }
 
+  private void rememberIfItMayHaveRun(TrackedCall tracked) {
+    if (tracked != null && tracked.attemptCount() > 0 && !isRepeatable(tracked.call().type())) {
+      mayHaveRun.put(tracked.call().id(), tracked.call().id());
+    }
+  }
+
   private void markAnswered(String id) {
     CallerCall call = calls.get(id);
     if (call != null && call.connection.pendingCalls().contains(id)) {
@@ -594,6 +626,9 @@
       releases.callProven(call.connection);
     } else {
       calls.remove(id);
+      if (answer.kind() == FinalAnswer.Kind.FAILED) {
+        rememberIfItMayHaveRun(controller.call(id));
+      }
       call.connection.send(refusal(id, answer));
     }
   }
