--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -99,6 +99,9 @@
     private Connection connection;
     private boolean receivedOctets;
 
+    /** Clock of its last octets, or at which it was begun, ms. */
+    private double heardAt;
+
     @Override
     public boolean urgent() {
       return true;
@@ -107,6 +110,7 @@
     @Override
     public void received(byte[] octets, double arrived) {
       receivedOctets = true;
+      heardAt = scheduler.now();
       try {
         framer.feed(octets, this::onLine);
       } catch (MalformedException e) {
@@ -139,7 +143,7 @@
     public void lost(Loss loss) {
       counters.increment("journal connections lost");
       log.closed("journal", "lost: " + loss);
-      if (subscriptions.remove(this) && subscriptions.isEmpty()) {
+      if (subscriptions.remove(this) && noneIsHeard()) {
         boolean firstBreak = receivedOctets && retryDelayMillis == MIN_RETRY_DELAY_MILLIS;
         reconnectAfter(firstBreak ? 0 : retryDelayMillis);
         growRetryDelay();
@@ -148,7 +152,7 @@
 
     private void reconnectAfter(double delayMillis) {
       log.retried("", "journal", "connects again in " + Math.round(delayMillis) + " ms");
-      scheduler.schedule(delayMillis, JournalFollower.this::connectIfNone);
+      scheduler.schedule(delayMillis, JournalFollower.this::connectIfNoneIsHeard);
     }
   }
 
@@ -181,9 +185,27 @@
     }
   }
 
+  /** Connects unless a connection is left that brings lines, or may still bring its first one. */
+  private void connectIfNoneIsHeard() {
+    if (noneIsHeard()) {
+      connect();
+    }
+  }
+
+  /**
+   * Whether all connections that are left have been silent for long, or none is left. A connection
+   * to a service that has forgotten it stays open and silent.
+   */
+  private boolean noneIsHeard() {
+    double now = scheduler.now();
+    return subscriptions.stream()
+        .allMatch(subscription -> now - subscription.heardAt > SILENCE_TIMEOUT_MILLIS);
+  }
+
   private void connect() {
     Subscription subscription = new Subscription();
     subscriptions.add(subscription);
+    subscription.heardAt = scheduler.now();
     lastProgressAt = scheduler.now();
     subscription.connection = transport.connect(address.host(), address.port(), subscription);
     subscription.connection.send(("tail " + position + "\n").getBytes(StandardCharsets.US_ASCII));
