--- a/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
+++ b/isupfront/src/main/java/coveladder/isupfront/IsupFrontEnd.java
@@ -25,8 +25,11 @@
   /** Time between two checks that shows that this process was stopped in between. */
   private static final double STALL_MILLIS = 1_000;
 
-  /** Time after a stall in which what has arrived meanwhile is read before silence counts. */
-  private static final double READ_GRACE_MILLIS = 300;
+  /**
+   * Time after a stall before silence counts: what has arrived meanwhile is read, and a switch that
+   * had nothing to say accepts a connection.
+   */
+  private static final double STALL_GRACE_MILLIS = 300;
 
   /**
    * Upper limit of the shutdown window. At a planned restart the platform's window is the longest
@@ -167,8 +170,9 @@
   }
 
   private void runPeriodicChecks() {
-    if (canJudgeSilence()) {
-      switches.checkConnections();
+    boolean judgesSilence = canJudgeSilence();
+    switches.checkConnections(judgesSilence);
+    if (judgesSilence) {
       callers.closeSilentConnections();
       journal.resubscribeIfSilent();
     }
@@ -185,7 +189,7 @@
     if (sinceLastCheckMillis > STALL_MILLIS) {
       log.state("", "", "stopped for " + Math.round(sinceLastCheckMillis) + " ms");
       counters.increment("stalls of this process");
-      silenceCountsFrom = now + READ_GRACE_MILLIS;
+      silenceCountsFrom = now + STALL_GRACE_MILLIS;
     }
     return now >= silenceCountsFrom;
   }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -283,12 +283,25 @@
   }
 
   /**
-   * Resets connections that stalled within a line, checks a silent switch with a new connection,
-   * and declares an unreachable switch gone.
+   * Checks a silent switch with a new connection. If silence counts now, also resets connections
+   * that stalled within a line and declares an unreachable switch gone.
    */
-  void checkConnections() {
+  void checkConnections(boolean judgesSilence) {
     double now = links.now();
     dropExpired();
+    if (judgesSilence) {
+      resetStalledConnections(now);
+    }
+    if (isInUse() && reachability.needsCheck(now) && !isConnecting() && !reconnectScheduled) {
+      openCheckConnection();
+    }
+    boolean draining = entry.state() != CallPolicy.ExchangeState.IN_SERVICE;
+    if (judgesSilence && reachability.isLost(now, draining)) {
+      declareGone("cannot be reached");
+    }
+  }
+
+  private void resetStalledConnections(double now) {
     for (SwitchConnection connection : new ArrayList<>(connections)) {
       if (connection.hasStalledLine(now, links.limits().partialLineMillis())) {
         links.counters().increment("switch connections reset as stuck within a line");
@@ -299,13 +312,6 @@
         resetConnection(connection, "does not answer");
       }
     }
-    if (isInUse() && reachability.needsCheck(now) && !isConnecting() && !reconnectScheduled) {
-      openCheckConnection();
-    }
-    boolean draining = entry.state() != CallPolicy.ExchangeState.IN_SERVICE;
-    if (reachability.isLost(now, draining)) {
-      declareGone("cannot be reached");
-    }
   }
 
   private void dropExpired() {
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -163,9 +163,13 @@
     links.clear();
   }
 
-  /** Checks the connections of all links. */
-  void checkConnections() {
-    new ArrayList<>(links.values()).forEach(SwitchLink::checkConnections);
+  /**
+   * Checks the connections of all links.
+   *
+   * @param judgesSilence whether the silence of a peer counts now
+   */
+  void checkConnections(boolean judgesSilence) {
+    new ArrayList<>(links.values()).forEach(link -> link.checkConnections(judgesSilence));
   }
 
   // ---- Requests of the controller -----------------------------------------------------------
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -180,6 +180,21 @@
     assertEquals(List.of("12 7 cause 41"), caller.takeSent());
   }
 
+  /** Guards against calls cut at switches that had nothing to say before and during a stop. */
+  @Test
+  void aQuietSwitchThatAcceptsAConnectionAfterAStopKeepsItsCalls() {
+    FrontEndHarness.FakeConnection caller = establishCall();
+    FrontEndHarness.FakeConnection quiet = harness.connectionTo(2);
+    harness.clock.advance(3_000);
+    harness.clock.stall(4_800);
+    harness.clock.advance(150);
+    FrontEndHarness.FakeConnection check = harness.connectionTo(2);
+    assertNotSame(quiet, check);
+    check.establish();
+    harness.clock.advance(3_000);
+    assertEquals(List.of(), caller.takeSent());
+  }
+
   /** A service that lists switches without end filled the heap. */
   @Test
   void theNumberOfListedSwitchesIsBounded() {
