Connections to switches share the descriptors while many are listed

Cause: three connections to each switch however many were listed; only sockets were counted.

Change: the share of each falls as more are listed, spare connections are closed, 32 descriptors are left for files and the selector.

--- a/isupfront/src/main/java/coveladder/isupfront/Limits.java
+++ b/isupfront/src/main/java/coveladder/isupfront/Limits.java
@@ -15,6 +15,8 @@
  * @param maxUnusableMessages number of set-ups that are unusable or have the id of another call,
  *     after which a caller connection is closed
  * @param maxConnectionsPerSwitch maximum number of connections to one switch
+ * @param maxSwitchConnections number of connections to all switches together from which each has
+ *     fewer; it has at least one
  * @param partialLineMillis time without progress within a line after which a switch connection is
  *     reset, ms
  * @param switchSilenceMillis time without any sign of a switch after which it is declared gone, ms
@@ -28,6 +30,7 @@
     double callerSilenceMillis,
     int maxUnusableMessages,
     int maxConnectionsPerSwitch,
+    int maxSwitchConnections,
     double partialLineMillis,
     double switchSilenceMillis) {
   /**
@@ -36,6 +39,9 @@
    */
   private static final int RESERVED_DESCRIPTORS = 64;
 
+  /** Descriptors of the process that are no connections: files, selector, listening socket. */
+  public static final int PROCESS_DESCRIPTORS = 32;
+
   /** A seventh of the heap of the run line; 2 KiB for each call at the maximum number of calls. */
   private static final int MAX_PENDING_OCTETS = 6 << 20;
 
@@ -65,6 +71,7 @@
         2_000,
         20,
         connectionsPerSwitch,
+        descriptors - RESERVED_DESCRIPTORS - callerConnections,
         300,
         SWITCH_SILENCE_MILLIS);
   }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLink.java
@@ -159,7 +159,7 @@
         best = connection;
       }
     }
-    boolean belowLimit = connections.size() < links.limits().maxConnectionsPerSwitch();
+    boolean belowLimit = connections.size() < links.maxConnectionsPerSwitch();
     if (belowLimit && !isConnecting() && (best == null || !best.outstanding().isEmpty())) {
       SwitchConnection added = connect();
       return best == null ? added : best;
@@ -260,7 +260,7 @@
   }
 
   private boolean needsConnection() {
-    boolean belowLimit = connections.size() < links.limits().maxConnectionsPerSwitch();
+    boolean belowLimit = connections.size() < links.maxConnectionsPerSwitch();
     boolean inUse = !established.isEmpty() || !unsentReleases.isEmpty();
     return inDirectory && (connections.isEmpty() || belowLimit && inUse);
   }
@@ -292,6 +292,9 @@
     if (judgesSilence) {
       resetStalledConnections(now);
     }
+    if (connections.size() > links.maxConnectionsPerSwitch()) {
+      closeSpareConnection();
+    }
     if (isInUse() && reachability.needsCheck(now) && !isConnecting() && !reconnectScheduled) {
       openCheckConnection();
     }
@@ -301,6 +304,18 @@
     }
   }
 
+  /** Closes a connection without set-ups, as the descriptors must do for more switches now. */
+  private void closeSpareConnection() {
+    for (SwitchConnection connection : connections) {
+      if (connection.outstanding().isEmpty()) {
+        connection.reset("more switches share the descriptors");
+        connections.remove(connection);
+        resendReleases(connection);
+        return;
+      }
+    }
+  }
+
   private void resetStalledConnections(double now) {
     for (SwitchConnection connection : new ArrayList<>(connections)) {
       if (connection.hasStalledLine(now, links.limits().partialLineMillis())) {
@@ -332,7 +347,7 @@
    */
   private void openCheckConnection() {
     SwitchConnection oldest = connections.isEmpty() ? null : connections.get(0);
-    if (connections.size() >= links.limits().maxConnectionsPerSwitch()) {
+    if (connections.size() >= links.maxConnectionsPerSwitch()) {
       if (!oldest.outstanding().isEmpty()) {
         return;
       }
--- a/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
+++ b/isupfront/src/main/java/coveladder/isupfront/SwitchLinks.java
@@ -93,6 +93,15 @@
     return limits;
   }
 
+  /**
+   * Returns the maximum number of connections to one switch: fewer while many are listed, as during
+   * their replacement, since all share the descriptors of the process.
+   */
+  int maxConnectionsPerSwitch() {
+    int share = limits.maxSwitchConnections() / Math.max(1, links.size());
+    return Math.max(1, Math.min(limits.maxConnectionsPerSwitch(), share));
+  }
+
   Counters counters() {
     return counters;
   }
--- a/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/BadCallersTest.java
@@ -31,7 +31,7 @@
     harness =
         new FrontEndHarness(
                 actions -> policy = new ScriptedPolicy(actions),
-                new Limits(16_384, 4, 5, 60_000, 6, 2_000, 3, 3, 300, 6_000))
+                new Limits(16_384, 4, 5, 60_000, 6, 2_000, 3, 3, 30, 300, 6_000))
             .openSwitchConnections();
     caller = harness.connectCaller();
     policy.takeEvents();
@@ -228,7 +228,7 @@
   void aSlowlyWrittenMessageDoesNotEndThePendingCallsOfItsConnection() {
     harness =
         new FrontEndHarness(
-                ScriptedPolicy::new, new Limits(16_384, 4, 5, 60_000, 6, 500, 3, 3, 300, 6_000))
+                ScriptedPolicy::new, new Limits(16_384, 4, 5, 60_000, 6, 500, 3, 3, 30, 300, 6_000))
             .openSwitchConnections();
     caller = harness.connectCaller();
     caller.deliver(FrontEndHarness.setUp(7));
--- a/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/LifecycleTest.java
@@ -195,6 +195,36 @@
     assertEquals(List.of(), caller.takeSent());
   }
 
+  /** Guards against more connections than there are descriptors while switches are replaced. */
+  @Test
+  void switchesShareTheDescriptorsWhileManyAreListed() {
+    FrontEndHarness.FakeConnection journal = harness.connectionTo(8500);
+    placeCallsOverNewConnections(1);
+    assertEquals(3, openConnectionsToFirstSwitch());
+    for (int position = 2; position <= 74; position++) {
+      int port = 10_000 + position;
+      journal.deliver(
+          FrontEndHarness.journalEvent(position, "x" + position, port, "in_service", 0));
+    }
+    placeCallsOverNewConnections(11);
+    harness.clock.advance(1_500);
+    assertEquals(1, openConnectionsToFirstSwitch());
+  }
+
+  private void placeCallsOverNewConnections(int firstId) {
+    FrontEndHarness.FakeConnection caller = harness.connectCaller();
+    for (int id = firstId; id < firstId + 10; id++) {
+      harness.connections.stream()
+          .filter(connection -> connection.port == 2 && !connection.closed)
+          .forEach(FrontEndHarness.FakeConnection::establish);
+      caller.deliver(FrontEndHarness.setUp(id));
+    }
+  }
+
+  private long openConnectionsToFirstSwitch() {
+    return harness.connections.stream().filter(to -> to.port == 2 && !to.closed).count();
+  }
+
   /** A service that lists switches without end filled the heap. */
   @Test
   void theNumberOfListedSwitchesIsBounded() {
--- a/serve/src/main/java/coveladder/serve/Serve.java
+++ b/serve/src/main/java/coveladder/serve/Serve.java
@@ -83,7 +83,10 @@
   private static Streams.Limits streamLimits(PlatformSettings settings, Limits limits) {
     int maxAccepted = limits.maxCallerConnections() + 8;
     return new Streams.Limits(
-        settings.maxDescriptors(), maxAccepted, MAX_QUEUED_BYTES, CONNECT_TIMEOUT_MILLIS);
+        settings.maxDescriptors() - Limits.PROCESS_DESCRIPTORS,
+        maxAccepted,
+        MAX_QUEUED_BYTES,
+        CONNECT_TIMEOUT_MILLIS);
   }
 
   /**
