Held set-ups have a class of their own; one that may have run fails instead of being refused

ArrivalGate takes over what CallerRequests did with set-ups behind which input is unread. On the way: a call of a class that may not be repeated, refused as its input is not read while it waits for a second attempt, is answered as failed (41) like every other that may have run.

--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -5,6 +5,7 @@
 import coveladder.isup.CallerFramer;
 import coveladder.isup.CallerMessage;
 import coveladder.isup.MalformedException;
+import coveladder.isupfront.ArrivalGate.HeldSetUp;
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import coveladder.isupfront.Transport.Loss;
@@ -69,14 +70,6 @@
     this.lastMessageAt = now;
   }
 
-  /**
-   * A set-up that waits until the input behind it is read.
-   *
-   * @param setUp the set-up
-   * @param arrived clock at which it was read, ms
-   */
-  record HeldSetUp(SetUp setUp, double arrived) {}
-
   /** Name in the log. */
   String name() {
     return name;
--- a/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerRequests.java
@@ -7,7 +7,7 @@
 import coveladder.isup.CallerMessage;
 import coveladder.isup.Cause;
 import coveladder.isup.MalformedException;
-import coveladder.isupfront.CallerConnection.HeldSetUp;
+import coveladder.isupfront.ArrivalGate.HeldSetUp;
 import coveladder.isupfront.Transport.Connection;
 import coveladder.isupfront.Transport.ConnectionListener;
 import java.nio.charset.StandardCharsets;
@@ -27,12 +27,6 @@
  * refused as a duplicate. Any other RELEASE is only acknowledged.
  */
 final class CallerRequests implements CallerInput {
-  /** Interval at which a connection is checked whose input is not read yet. */
-  private static final double INPUT_CHECK_MILLIS = 5;
-
-  /** Time after which a set-up is refused whose connection still has input that is not read. */
-  private static final double MAX_HOLD_MILLIS = 500;
-
   private final CallController controller;
   private final Scheduler scheduler;
   private final Limits limits;
@@ -42,6 +36,7 @@
   private final Counters counters;
   private final EndedCalls endedCalls;
   private final DeferredResumptions deferredResumptions;
+  private final ArrivalGate arrivalGate;
 
   /** Clock at which calls with an attempt were given up, ms, by id, for the guard time. */
   private final ExpiringMap<Double> givenUpAt;
@@ -106,6 +101,7 @@
     this.counters = counters;
     this.endedCalls = endedCalls;
     this.deferredResumptions = new DeferredResumptions(scheduler, limits.maxTrackedCalls());
+    this.arrivalGate = new ArrivalGate(scheduler, this::startHeld, this::refuseForInput);
     this.guardMillis = controller.settings().guardTime();
     this.mayHaveRun =
         new ExpiringMap<>(scheduler, limits.maxTrackedCalls(), EndedCalls.RETENTION_MILLIS);
@@ -296,55 +292,39 @@
     pendingOctets += setUp.memoryOctets();
     endedCalls.forget(setUp.id());
     releases.callBrought(connection);
-    connection.heldSetUps().put(setUp.id(), new HeldSetUp(setUp, arrived));
+    arrivalGate.hold(connection, new HeldSetUp(setUp, arrived));
   }
 
-  /**
-   * Reports the set-ups of a connection to the controller, unless more of its input has arrived:
-   * its client may give them up in there, or have closed the connection behind it.
-   */
+  /** Handles the end of a part of a connection's input. */
   void inputProcessed(CallerConnection connection) {
-    if (connection.heldSetUps().isEmpty()) {
-      return;
-    }
-    if (connection.hasUnreadInput()) {
-      refuseHeldForLong(connection);
-      connection.checkInputAfter(INPUT_CHECK_MILLIS, scheduler);
-    } else {
-      reportHeld(connection);
-    }
+    arrivalGate.inputProcessed(connection);
   }
 
-  private void refuseHeldForLong(CallerConnection connection) {
-    double now = scheduler.now();
-    for (HeldSetUp held : new ArrayList<>(connection.heldSetUps().values())) {
-      if (now - held.arrived() < MAX_HOLD_MILLIS) {
-        return;
-      }
-      counters.increment("set-ups refused as the input behind them is not read in time");
-      refuseAccepted(held.setUp().id());
+  private void startHeld(CallerConnection connection, HeldSetUp held) {
+    SetUp setUp = held.setUp();
+    double holdMillis = guardTimeLeft(setUp.id());
+    if (holdMillis > 0) {
+      log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
+      scheduler.schedule(holdMillis, () -> reportArrival(setUp, held.arrived()));
+    } else {
+      reportArrival(setUp, held.arrived());
     }
   }
 
-  private void refuseAccepted(String id) {
+  /**
+   * Refuses a pending call behind which its caller has sent too much. One that may have run before
+   * and may not be repeated has failed.
+   */
+  private void refuseForInput(String id) {
     CallerCall call = calls.get(id);
+    TrackedCall tracked = controller.call(id);
+    boolean mayHaveRunBefore =
+        tracked != null && tracked.attemptCount() > 1 && !isRepeatable(tracked.call().type());
+    int cause = mayHaveRunBefore ? Cause.TEMPORARY_FAILURE : Cause.CONGESTION;
+    counters.increment("set-ups refused as the input behind them is not read in time");
+    log.refused(id, call.connection.name(), "too much input behind it");
     abandon(id);
-    refuseForCongestion(call.connection, id, "too much input behind it");
-  }
-
-  private void reportHeld(CallerConnection connection) {
-    List<HeldSetUp> held = new ArrayList<>(connection.heldSetUps().values());
-    connection.heldSetUps().clear();
-    for (HeldSetUp next : held) {
-      SetUp setUp = next.setUp();
-      double holdMillis = guardTimeLeft(setUp.id());
-      if (holdMillis > 0) {
-        log.state(setUp.id(), connection.name(), "held until the guard time of its id is over");
-        scheduler.schedule(holdMillis, () -> reportArrival(setUp, next.arrived()));
-      } else {
-        reportArrival(setUp, next.arrived());
-      }
-    }
+    call.connection.send(CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
   }
 
   /** Whether the caller of a pending call has sent what was not processed yet. */
@@ -357,8 +337,7 @@
   /** Refuses a pending call, as the input of its caller is not read in time. */
   @Override
   public void refuseBacklogged(String id) {
-    counters.increment("calls refused as the input of their caller is not read in time");
-    refuseAccepted(id);
+    refuseForInput(id);
   }
 
   /**
@@ -673,7 +652,7 @@
 
   /** Reports all set-ups to the controller that wait for the input behind them. */
   void reportAllHeld() {
-    new ArrayList<>(connections).forEach(this::reportHeld);
+    new ArrayList<>(connections).forEach(arrivalGate::open);
   }
 
   /** Refuses all new set-ups from now on. */
