--- a/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
+++ b/isupfront/src/main/java/coveladder/isupfront/CallerConnection.java
@@ -228,7 +228,9 @@
 
   @Override
   public void lost(Loss loss) {
-    ended("lost: " + loss);
+    if (!closed) {
+      ended("lost: " + loss);
+    }
   }
 
   /** Sends a message; resets the connection if too many octets are queued. */
--- a/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
+++ b/isupfront/src/main/java/coveladder/isupfront/JournalFollower.java
@@ -28,6 +28,12 @@
   /** Time without a line after which it subscribes again; the service sends one each second. */
   private static final double SILENCE_TIMEOUT_MILLIS = 1_500;
 
+  /**
+   * The same time after the first further connection: what the service has to tell counts as told 4
+   * s after it fell silent, and a connection that it took meanwhile may be forgotten.
+   */
+  private static final double SECOND_SILENCE_TIMEOUT_MILLIS = 2_000;
+
   /**
    * The same time once two further connections have brought no line either: a slow service must not
    * be made slower.
@@ -242,10 +248,17 @@
     }
   }
 
+  private double silenceTimeoutMillis() {
+    return switch (silentAttempts) {
+      case 0 -> SILENCE_TIMEOUT_MILLIS;
+      case 1 -> SECOND_SILENCE_TIMEOUT_MILLIS;
+      default -> REPEATED_SILENCE_TIMEOUT_MILLIS;
+    };
+  }
+
   /** Subscribes on a further connection if the service has fallen silent. */
   void resubscribeIfSilent() {
-    double timeoutMillis =
-        silentAttempts > 1 ? REPEATED_SILENCE_TIMEOUT_MILLIS : SILENCE_TIMEOUT_MILLIS;
+    double timeoutMillis = silenceTimeoutMillis();
     if (subscriptions.isEmpty() || scheduler.now() - lastProgressAt <= timeoutMillis) {
       return;
     }
--- a/isupfront/src/test/java/coveladder/isupfront/SilentJournalTest.java
+++ b/isupfront/src/test/java/coveladder/isupfront/SilentJournalTest.java
@@ -69,6 +69,17 @@
     assertTrue(attempts >= 30 && attempts <= 55, attempts + " attempts");
   }
 
+  /** Guards against a drain heard late, as a connection made meanwhile was forgotten as well. */
+  @Test
+  void aServiceThatTakesAConnectionAndForgetsItIsAskedAgainLateInTheFourSeconds() {
+    FakeConnection forgotten = newest();
+    forgotten.establish();
+    harness.clock.advance(1_750);
+    assertEquals(forgotten, newest());
+    harness.clock.advance(300);
+    assertNotSame(forgotten, newest());
+  }
+
   /** A service that takes the connection and answers late is not asked again at once. */
   @Test
   void aConnectionThatIsMadeHasTimeToBringALine() {
